--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,171 @@
+#include "config/config.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+#include "boot_info.h"
+
+namespace flintglade::config {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kLargestFile = 16u << 20;
+
+std::string plain(const Json& value) {
+  std::string text = value.is_string() ? value.get<std::string>() : value.is_null() ? "" : value.dump();
+  for (char& c : text) {
+    if (c == ' ' || c == ',' || c == '\n' || c == '\r') c = '_';
+  }
+  return text;
+}
+
+void flatten(const Json& value, const std::string& path, std::string& out) {
+  if (value.is_object()) {
+    for (const auto& [key, item] : value.items()) flatten(item, path.empty() ? key : path + "." + key, out);
+    return;
+  }
+  if (!value.is_array()) {
+    out += path + "=" + plain(value) + "\n";
+    return;
+  }
+  if (std::any_of(value.begin(), value.end(), [](const Json& item) { return item.is_structured(); })) {
+    out += path + ".count=" + std::to_string(value.size()) + "\n";
+    for (std::size_t i = 0; i < value.size(); ++i) flatten(value[i], path + "." + std::to_string(i), out);
+    return;
+  }
+  out += path + "=";
+  for (std::size_t i = 0; i < value.size(); ++i) out += (i > 0 ? "," : "") + plain(value[i]);
+  out += "\n";
+}
+
+std::string read_host_port(const Json& root, const char* key, HostPort& out) {
+  const auto it = root.find(key);
+  if (it == root.end()) return "";
+  if (!it->is_string() || !parse_host_port(it->get<std::string>(), out))
+    return std::string("config: ") + key + " is not of the form ADDRESS:PORT";
+  return "";
+}
+
+std::string read_count(const Json& root, const char* key, std::size_t least, std::size_t& out) {
+  const auto it = root.find(key);
+  if (it == root.end()) return "";
+  if (!it->is_number() || it->get<double>() < static_cast<double>(least) || it->get<double>() > 1e9)
+    return std::string("config: limits.") + key + " is not a number of at least " + std::to_string(least);
+  out = static_cast<std::size_t>(it->get<double>());
+  return "";
+}
+
+std::string read_seconds(const Json& settings, const char* group, const char* key, core::Micros& out) {
+  const auto g = settings.find(group);
+  if (g == settings.end() || !g->is_object() || !g->contains(key)) return "";
+  const Json& value = (*g)[key];
+  if (!value.is_number() || value.get<double>() < 0.0 || value.get<double>() > 4000.0)
+    return std::string("config: settings.") + group + "." + key + " is not a number of seconds";
+  out = static_cast<core::Micros>(value.get<double>() * 1e6);
+  return "";
+}
+
+void read_names(const Json& settings, const char* key, std::vector<std::string>& out) {
+  const auto it = settings.find(key);
+  if (it == settings.end() || !it->is_array()) return;
+  for (const Json& item : *it) {
+    const Json* name = item.is_object() && item.contains("name") ? &item["name"] : &item;
+    out.push_back(name->is_string() ? name->get<std::string>() : "");
+  }
+}
+
+std::string first(std::initializer_list<std::string> errors) {
+  for (const std::string& e : errors) {
+    if (!e.empty()) return e;
+  }
+  return "";
+}
+
+}  // namespace
+
+bool parse_host_port(std::string_view text, HostPort& out) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) return false;
+  std::string_view host = text.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
+  const char* end = text.data() + text.size();
+  const auto [at, code] = std::from_chars(text.data() + colon + 1, end, out.port);
+  out.host = host;
+  return code == std::errc() && at == end;
+}
+
+std::string flatten(std::string_view json, std::string& error) {
+  std::string out;
+  const Json value = Json::parse(json, nullptr, false);
+  if (value.is_object()) {
+    flatten(value, "", out);
+  } else {
+    error = "config: settings are not a JSON object";
+  }
+  return out;
+}
+
+std::string parse(std::string_view json, Config& out) {
+  const Json root = Json::parse(json, nullptr, false);
+  if (!root.is_object()) return "config: not a JSON object";
+  if (root.contains("name") && root["name"].is_string()) out.name = root["name"].get<std::string>();
+  std::string error =
+      first({read_host_port(root, "listen", out.listen), read_host_port(root, "discovery", out.discovery)});
+  if (!error.empty()) return error;
+  if (const auto seed = root.find("seed"); seed != root.end()) {
+    const std::string text = seed->is_string() ? seed->get<std::string>() : seed->dump();
+    const auto [at, code] = std::from_chars(text.data(), text.data() + text.size(), out.seed, 16);
+    if (code != std::errc() || at != text.data() + text.size()) return "config: seed is not a hex number";
+  }
+  if (const auto limits = root.find("limits"); limits != root.end() && limits->is_object()) {
+    error = first({read_count(*limits, "memory_mb", 32, out.memory_mb),
+                   read_count(*limits, "sockets", 64, out.sockets)});
+    if (!error.empty()) return error;
+  }
+  if (root.contains("known")) out.known = root["known"].dump();
+  const auto settings = root.find("settings");
+  if (settings == root.end() || !settings->is_object()) return "config: settings are missing";
+  std::string lines;
+  flatten(*settings, "", lines);
+  error = pipitcleat::parse_boot_info(lines, out.module);
+  if (!error.empty()) return "config: " + error;
+  if (out.module.classes.empty()) return "config: settings.classes is missing or empty";
+  read_names(*settings, "classes", out.classes);
+  read_names(*settings, "accounts", out.tenants);
+  read_names(*settings, "failure_domains", out.zones);
+  read_names(*settings, "models", out.kinds);
+  return first({read_seconds(*settings, "invariants", "drain_grace", out.drain_grace),
+                read_seconds(*settings, "invariants", "grace_to_answer", out.answer_grace),
+                read_seconds(*settings, "permissions", "dial_timeout", out.dial_timeout),
+                read_seconds(*settings, "permissions", "conn_idle", out.conn_idle)});
+}
+
+std::string load(Config& out) {
+  const char* path = std::getenv("GW_CONFIG");
+  if (path == nullptr || *path == '\0') return "config: GW_CONFIG names no file";
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return "config: " + std::string(path) + " cannot be read";
+  std::string text(std::istreambuf_iterator<char>(file), {});
+  if (text.size() > kLargestFile) return "config: " + std::string(path) + " is too large";
+  std::string error = parse(text, out);
+  if (!error.empty()) return error;
+  if (const char* name = std::getenv("GW_NAME")) out.name = name;
+  const auto address = [&error](const char* variable, HostPort& to) {
+    const char* value = std::getenv(variable);
+    if (value != nullptr && !parse_host_port(value, to) && error.empty())
+      error = std::string("config: ") + variable + " is not of the form ADDRESS:PORT";
+  };
+  address("GW_LISTEN", out.listen);
+  address("GW_DISCOVERY", out.discovery);
+  if (!error.empty()) return error;
+  if (out.listen.host.empty()) return "config: no address to listen on";
+  if (out.discovery.host.empty()) return "config: no address of discovery";
+  return "";
+}
+
+}  // namespace flintglade::config
--- /dev/null
+++ b/src/core/broker.cpp
@@ -0,0 +1,397 @@
+#include "core/broker.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace flintglade::core {
+
+using pipitcleat::Health;
+using pipitcleat::ListKind;
+using pipitcleat::Outcome;
+
+namespace {
+
+// The one place where the core's microseconds become the module's seconds, and back.
+double to_seconds(Micros t) { return static_cast<double>(t) / 1e6; }
+Micros to_micros(double seconds) {
+  if (!std::isfinite(seconds) || seconds <= 0.0) return 0;
+  return static_cast<Micros>(std::min(seconds, 4300.0) * 1e6);
+}
+
+// A call's time-out that is cut to the client's deadline lands a little after it, as in the simulator: the
+// module's own alarm for the deadline comes first, and the call then counts as given up, not as timed out.
+constexpr Micros kExpirySlack = 5 * kMilli;
+
+}  // namespace
+
+const char* to_string(Phase phase) {
+  switch (phase) {
+    case Phase::starting:
+      return "starting";
+    case Phase::serving:
+      return "serving";
+    case Phase::draining:
+      return "draining";
+    case Phase::stopped:
+      return "stopped";
+  }
+  return "?";
+}
+
+Broker::Broker(BrokerSettings settings, pipitcleat::Settings module, std::uint64_t seed, Clock& clock,
+               ReplicaList& list)
+    : set_(settings),
+      module_(std::move(module), seed, to_seconds(clock.now())),
+      clock_(clock),
+      list_(list),
+      now_(clock.now()) {}
+Broker::~Broker() = default;
+
+void Broker::attach(Wire wire, Subchannels& subchannels) {
+  subchannels_[static_cast<std::size_t>(wire)] = &subchannels;
+}
+
+// ---- gathering
+// ----------------------------------------------------------------------------------------------
+
+RpcId Broker::arrived(std::shared_ptr<const RpcRequest> rpc, std::shared_ptr<Channel> channel) {
+  const RpcId id = ++last_id_;
+  gathered_.push_back(Arrived{id, std::move(rpc), std::move(channel)});
+  return id;
+}
+void Broker::client_gone(RpcId id) { gathered_.push_back(Gone{id}); }
+void Broker::writable(RpcId id) { gathered_.push_back(Writable{id}); }
+void Broker::call_events(CallId id, std::string events) {
+  gathered_.push_back(Events{id, std::move(events)});
+}
+void Broker::call_ended(CallId id, Outcome outcome, std::uint32_t kept, std::vector<float> report) {
+  gathered_.push_back(Ended{id, outcome, kept, std::move(report)});
+}
+void Broker::list_news(ListNews news) { gathered_.push_back(std::move(news)); }
+
+// ---- the turn
+// -----------------------------------------------------------------------------------------------
+
+void Broker::turn() {
+  now_ = clock_.now();
+  ++counters_.turns;
+  // What is gathered while the turn runs (a call that fails at once, say) belongs to the next turn.
+  std::vector<Event> events;
+  events.swap(gathered_);
+  for (Event& event : events) {
+    std::visit([this](auto& e) { take(e); }, event);
+  }
+  while (!alarms_.empty() && alarms_.top().at <= now_) {
+    const Alarm alarm = alarms_.top();
+    alarms_.pop();
+    ring(alarm);
+  }
+  std::vector<Action> actions;
+  actions.swap(actions_);
+  for (const Action& action : actions) {
+    std::visit([this](const auto& a) { carry_out(a); }, action);
+  }
+  if (phase_ == Phase::draining && now_ >= drain_from_ + set_.linger && rpcs_.empty())
+    phase_ = Phase::stopped;
+  counters_.longest_turn_us =
+      std::max(counters_.longest_turn_us, static_cast<std::uint64_t>(clock_.now() - now_));
+}
+
+Micros Broker::next_alarm() const {
+  Micros at = alarms_.empty() ? kNever : alarms_.top().at;
+  if (phase_ == Phase::draining && rpcs_.empty()) at = std::min(at, drain_from_ + set_.linger);
+  return gathered_.empty() ? at : 0;
+}
+
+void Broker::drain() {
+  if (phase_ == Phase::draining || phase_ == Phase::stopped) return;
+  phase_ = Phase::draining;
+  drain_from_ = clock_.now();
+}
+bool Broker::lingering() const { return phase_ == Phase::draining && now_ < drain_from_ + set_.linger; }
+
+Broker::Rpc* Broker::find(RpcId id) {
+  const auto it = rpcs_.find(id);
+  return it == rpcs_.end() ? nullptr : &it->second;
+}
+Broker::Call* Broker::find_out(CallId id, Rpc*& rpc) {
+  rpc = find(id.rpc);
+  if (rpc == nullptr || id.attempt >= rpc->calls.size() || !rpc->calls[id.attempt].out) return nullptr;
+  return &rpc->calls[id.attempt];
+}
+Subchannels& Broker::subchannels(const Rpc& rpc) const {
+  return *subchannels_[static_cast<std::size_t>(rpc.request->wire)];
+}
+
+// ---- what happened
+// ------------------------------------------------------------------------------------------
+
+void Broker::take(Arrived& e) {
+  ++counters_.rpcs;
+  counters_.retries += e.request->is_retry;
+  counters_.resumed += e.request->resumed;
+  // The bodies of waiting RPCs are the router's largest use of memory; past the budget a new one is refused
+  // on the spot, rather than the process be killed with all it holds.
+  if (body_bytes_ + e.request->body.size() > set_.body_budget) {
+    ++counters_.overloaded;
+    e.channel->unavailable(kSecond);
+    return;
+  }
+  Rpc& rpc = rpcs_[e.id];
+  rpc.request = std::move(e.request);
+  rpc.channel = std::move(e.channel);
+  rpc.came = now_;
+  rpc.deadline = now_ + rpc.request->patience;
+  body_bytes_ += rpc.request->body.size();
+  ++open_;
+  wake(rpc.deadline + set_.answer_grace, Overdue{e.id});
+  const RpcRequest& r = *rpc.request;
+  pipitcleat::Query q;
+  q.id = e.id;
+  q.klass = r.klass;
+  q.tenant = r.tenant;
+  q.key = r.session;
+  q.deadline = to_seconds(rpc.deadline);
+  q.prefix_id = r.prefix;
+  q.prompt_tokens = r.prompt_tokens;
+  q.prefix_tokens = r.prefix_tokens;
+  q.output_cap = r.output_cap;
+  q.is_retry = r.is_retry;
+  q.resumed = r.resumed;
+  module_.on_query(to_seconds(now_), q, *this);
+}
+
+void Broker::take(Gone& e) {
+  Rpc* rpc = find(e.id);
+  if (rpc == nullptr || rpc->over()) return;
+  ++counters_.gone;
+  close(*rpc);
+  module_.on_gone(to_seconds(now_), e.id, *this);
+  // The stream's own attempt is the core's to end: the module may not cancel one that has started. Its
+  // replica may work on; its outcome is told all the same.
+  const auto calls = static_cast<std::uint32_t>(rpc->calls.size());
+  for (std::uint32_t i = 0; i < calls; ++i) {
+    // Looked up each time: the last call's end drops the RPC.
+    if (Call* call = find_out({e.id, i}, rpc)) cancel_call({e.id, i}, *rpc, *call, Outcome::cancelled);
+  }
+  if ((rpc = find(e.id)) != nullptr) drop_if_done(e.id, *rpc);
+}
+
+void Broker::take(Writable& e) {
+  Rpc* rpc = find(e.id);
+  if (rpc == nullptr || rpc->over() || !rpc->held_up) return;
+  rpc->held_up = false;
+  if (rpc->bound >= 0) subchannels(*rpc).pause({e.id, static_cast<std::uint32_t>(rpc->bound)}, false);
+}
+
+void Broker::take(Events& e) {
+  Rpc* rpc = nullptr;
+  Call* call = find_out(e.id, rpc);
+  if (call == nullptr || call->stopped) return;
+  if (rpc->over() || (rpc->bound >= 0 && rpc->bound != static_cast<int>(e.id.attempt))) {
+    // Another attempt's stream was first, or the RPC is over: this one is of no use to anybody.
+    return cancel_call(e.id, *rpc, *call, Outcome::cancelled);
+  }
+  if (rpc->bound < 0) {
+    rpc->bound = static_cast<int>(e.id.attempt);
+    pipitcleat::Accepted a;
+    a.id = e.id.rpc;
+    a.attempt = e.id.attempt;
+    a.worker = call->replica;
+    a.latency = to_seconds(now_ - call->sent);
+    module_.on_accepted(to_seconds(now_), a, *this);
+  }
+  if (!rpc->channel->pass(e.bytes) && !rpc->held_up) {
+    rpc->held_up = true;
+    ++counters_.slow_clients;
+    subchannels(*rpc).pause(e.id, true);
+  }
+}
+
+void Broker::take(Ended& e) {
+  Rpc* rpc = nullptr;
+  Call* call = find_out(e.id, rpc);
+  if (call == nullptr) return;
+  end_call(e.id, *rpc, *call, e.outcome, e.kept, std::move(e.report));
+}
+
+void Broker::take(ListNews& e) {
+  if (e.kind == ListKind::failed) {
+    ++counters_.list_failures;
+  } else {
+    ++counters_.list_news;
+  }
+  if (e.kind != ListKind::cached) heard_ = true;
+  pipitcleat::ListChange change;
+  change.kind = e.kind;
+  change.version = e.version;
+  if (e.kind == ListKind::full || e.kind == ListKind::cached) {
+    // Whoever is missing from a full list is gone.
+    for (auto& [id, known] : replicas_) {
+      const bool listed = std::any_of(e.entries.begin(), e.entries.end(),
+                                      [id = id](const Endpoint& n) { return n.replica.id == id; });
+      if (listed || known.replica.health == Health::gone) continue;
+      e.entries.push_back(known);
+      e.entries.back().replica.health = Health::gone;
+    }
+  }
+  for (const Endpoint& entry : e.entries) {
+    change.workers.push_back(entry.replica);
+    const ReplicaId id = entry.replica.id;
+    replicas_[id] = entry;
+    if (entry.replica.health == Health::ready) {
+      retired_.erase(id);
+    } else {
+      retired_.try_emplace(id, now_);  // the first word counts, not the last
+    }
+    const auto retired = retired_.find(id);
+    for (Subchannels* s : subchannels_) {
+      if (s != nullptr)
+        s->update(entry, retired == retired_.end() ? kNever : retired->second + set_.drain_grace);
+    }
+  }
+  ready_replicas_ =
+      static_cast<std::size_t>(std::count_if(replicas_.begin(), replicas_.end(), [](const auto& r) {
+        return r.second.replica.health == Health::ready;
+      }));
+  if (phase_ == Phase::starting && heard_ && ready_replicas_ > 0) phase_ = Phase::serving;
+  module_.on_list(to_seconds(now_), change, *this);
+}
+
+// ---- alarms
+// -------------------------------------------------------------------------------------------------
+
+void Broker::wake(Micros at, std::variant<ModuleAlarm, CallExpiry, Overdue> what) {
+  alarms_.push(Alarm{at, ++alarms_set_, what});
+}
+
+void Broker::ring(const Alarm& alarm) {
+  if (const auto* m = std::get_if<ModuleAlarm>(&alarm.what)) {
+    module_.on_wake(to_seconds(now_), m->cookie, *this);
+  } else if (const auto* c = std::get_if<CallExpiry>(&alarm.what)) {
+    Rpc* rpc = nullptr;
+    Call* call = find_out(c->id, rpc);
+    // A stream that the client already reads has no time-out any more.
+    if (call == nullptr || rpc->bound == static_cast<int>(c->id.attempt)) return;
+    cancel_call(c->id, *rpc, *call, Outcome::timeout);
+  } else if (const auto* o = std::get_if<Overdue>(&alarm.what)) {
+    Rpc* rpc = find(o->id);
+    if (rpc == nullptr || rpc->over() || rpc->bound >= 0) return;
+    // The module owes every RPC an answer by its deadline. Should it not have given one, the client gets it
+    // from here, and the module is told that the RPC is over.
+    ++counters_.overdue;
+    ++counters_.failed;
+    close(*rpc)->fail(Failure::deadline);
+    module_.on_gone(to_seconds(now_), o->id, *this);
+    drop_if_done(o->id, *rpc);
+  }
+}
+
+// ---- calls
+// --------------------------------------------------------------------------------------------------
+
+std::shared_ptr<Channel> Broker::close(Rpc& rpc) {
+  --open_;
+  return std::exchange(rpc.channel, nullptr);
+}
+
+void Broker::drop_if_done(RpcId id, const Rpc& rpc) {
+  if (!rpc.over()) return;
+  if (std::any_of(rpc.calls.begin(), rpc.calls.end(), [](const Call& c) { return c.out; })) return;
+  body_bytes_ -= rpc.request->body.size();
+  rpcs_.erase(id);
+}
+
+void Broker::cancel_call(CallId id, Rpc& rpc, Call& call, Outcome outcome) {
+  subchannels(rpc).cancel(id);
+  end_call(id, rpc, call, outcome, 0, {});
+}
+
+// Every attempt gets one outcome, whatever became of its RPC.
+void Broker::end_call(CallId id, Rpc& rpc, Call& call, Outcome outcome, std::uint32_t kept,
+                      std::vector<float> report) {
+  call.out = false;
+  const bool bound = rpc.bound == static_cast<int>(id.attempt);
+  // An answer that ended in the very turn in which its call was stopped has reached nobody.
+  if (outcome == Outcome::ok && !bound) outcome = Outcome::cancelled;
+  ++counters_.outcomes[static_cast<std::size_t>(outcome) % counters_.outcomes.size()];
+  if (!rpc.over() && outcome == Outcome::ok && bound) {
+    ++counters_.served;
+    close(rpc)->finish();
+  } else if (!rpc.over() && bound) {
+    ++counters_.broken;
+    close(rpc)->break_off();
+  }
+  pipitcleat::Response r;
+  r.id = id.rpc;
+  r.attempt = id.attempt;
+  r.worker = call.replica;
+  r.outcome = outcome;
+  r.latency = to_seconds(now_ - call.sent);
+  r.closed = rpc.over();
+  r.note = kept;
+  r.report = std::move(report);
+  module_.on_response(to_seconds(now_), r, *this);
+  drop_if_done(id.rpc, rpc);
+}
+
+// ---- the module's actions
+// -----------------------------------------------------------------------------------
+
+void Broker::attempt(RpcId id, ReplicaId worker, double allow_for) {
+  actions_.push_back(Attempt{id, worker, allow_for});
+}
+void Broker::busy(RpcId id, double not_before_for) { actions_.push_back(Busy{id, not_before_for}); }
+void Broker::fail(RpcId id) { actions_.push_back(Fail{id}); }
+void Broker::stop_attempt(RpcId id, std::uint16_t attempt) { actions_.push_back(StopAttempt{{id, attempt}}); }
+void Broker::set_alarm(double span, std::uint64_t cookie) { actions_.push_back(SetAlarm{span, cookie}); }
+void Broker::observe(bool on) { actions_.push_back(Observe{on}); }
+
+void Broker::carry_out(const Attempt& a) {
+  Rpc* rpc = find(a.id);
+  if (rpc == nullptr) return;
+  const CallId id{a.id, static_cast<std::uint32_t>(rpc->calls.size())};
+  rpc->calls.push_back({a.replica, now_, true, false});
+  if (rpc->over() || rpc->bound >= 0 || now_ >= rpc->deadline) {
+    return call_ended(id, Outcome::moot);  // never sent; the module learns it in the next turn
+  }
+  ++counters_.calls;
+  if (id.attempt > 0) ++counters_.second_calls;
+  const Micros left = rpc->deadline - now_;
+  const Micros allowed = a.allow_for == 0.0 ? left : std::min(left, to_micros(a.allow_for));
+  wake(now_ + allowed + (allowed == left ? kExpirySlack : 0), CallExpiry{id});
+  subchannels(*rpc).call(id, a.replica, rpc->request, allowed);
+}
+
+void Broker::carry_out(const Busy& a) {
+  Rpc* rpc = find(a.id);
+  if (rpc == nullptr || rpc->over() || rpc->bound >= 0) return;
+  ++counters_.unavailable;
+  close(*rpc)->unavailable(to_micros(a.not_before_for));
+  drop_if_done(a.id, *rpc);
+}
+
+void Broker::carry_out(const Fail& a) {
+  Rpc* rpc = find(a.id);
+  if (rpc == nullptr || rpc->over() || rpc->bound >= 0) return;
+  ++counters_.failed;
+  close(*rpc)->fail(now_ >= rpc->deadline ? Failure::deadline : Failure::error);
+  drop_if_done(a.id, *rpc);
+}
+
+void Broker::carry_out(const StopAttempt& a) {
+  Rpc* rpc = nullptr;
+  Call* call = find_out(a.id, rpc);
+  if (call == nullptr || rpc->bound == static_cast<int>(a.id.attempt)) return;
+  call->stopped = true;
+  // The connection goes now; the outcome is told in the next turn, since the module is not to be called
+  // while its actions are carried out.
+  subchannels(*rpc).cancel(a.id);
+  call_ended(a.id, Outcome::cancelled);
+}
+
+void Broker::carry_out(const SetAlarm& a) { wake(now_ + to_micros(a.span), ModuleAlarm{a.cookie}); }
+void Broker::carry_out(const Observe& a) { list_.observe(a.on); }
+
+}  // namespace flintglade::core
--- /dev/null
+++ b/src/core/broker.h
@@ -0,0 +1,197 @@
+// The core: the table of RPCs, their call attempts and time-outs, alarms, and the router's phases. It decides
+// nothing about where an RPC goes or whether it is refused: it hands what happened to the module, once a
+// turn, and carries out what comes back. It knows no socket and no wire.
+#pragma once
+
+#include <array>
+#include <memory>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "core/counters.h"
+#include "core/ports.h"
+#include "pipitcleat/balancer.h"
+
+namespace flintglade::core {
+
+enum class Phase { starting, serving, draining, stopped };
+const char* to_string(Phase phase);
+
+struct BrokerSettings {
+  Micros drain_grace = 2 * kSecond;     // after a replica is known to drain or be gone
+  Micros answer_grace = 20 * kMilli;    // after the deadline, for the final answer
+  std::size_t body_budget = 48u << 20;  // bytes of request bodies held at once
+  Micros linger = kSecond;              // how long a draining router goes on taking new RPCs
+};
+
+class Broker final : private pipitcleat::ActionSink {
+ public:
+  Broker(BrokerSettings settings, pipitcleat::Settings module, std::uint64_t seed, Clock& clock,
+         ReplicaList& list);
+  ~Broker() override;
+
+  void attach(Wire wire, Subchannels& subchannels);
+
+  // ---- gathered events: kept until the next turn ----
+  RpcId arrived(std::shared_ptr<const RpcRequest> rpc, std::shared_ptr<Channel> channel);
+  void client_gone(RpcId id);
+  void writable(RpcId id);
+  void call_events(CallId id, std::string events);  // whole events; the first ones bind the attempt
+  void call_ended(CallId id, pipitcleat::Outcome outcome, std::uint32_t kept = 0,
+                  std::vector<float> report = {});
+  void list_news(ListNews news);
+
+  // ---- the loop ----
+  void turn();                // hand what was gathered to the module, then carry out its actions
+  Micros next_alarm() const;  // when the next turn is due even if nothing happens
+  bool has_work() const { return !gathered_.empty(); }
+
+  // ---- phases ----
+  Phase phase() const { return phase_; }
+  bool ready() const { return phase_ == Phase::serving; }
+  void drain();            // SIGTERM: finish what is here, and what still comes, then stop
+  bool lingering() const;  // draining, and clients may still come
+  std::size_t open_rpcs() const { return open_; }
+  const Counters& counters() const { return counters_; }
+
+ private:
+  struct Call {
+    ReplicaId replica = 0;
+    Micros sent = 0;
+    bool out = true;
+    bool stopped = false;  // given up; its outcome is on the way
+  };
+  struct Rpc {
+    std::shared_ptr<const RpcRequest> request;
+    std::shared_ptr<Channel> channel;  // empty once the final answer is given
+    Micros came = 0;
+    Micros deadline = 0;
+    std::vector<Call> calls;
+    int bound = -1;  // the attempt whose stream the client gets
+    bool held_up = false;
+    bool over() const { return channel == nullptr; }
+  };
+
+  struct Arrived {
+    RpcId id;
+    std::shared_ptr<const RpcRequest> request;
+    std::shared_ptr<Channel> channel;
+  };
+  struct Gone {
+    RpcId id;
+  };
+  struct Writable {
+    RpcId id;
+  };
+  struct Events {
+    CallId id;
+    std::string bytes;
+  };
+  struct Ended {
+    CallId id;
+    pipitcleat::Outcome outcome;
+    std::uint32_t kept;
+    std::vector<float> report;
+  };
+  using Event = std::variant<Arrived, Gone, Writable, Events, Ended, ListNews>;
+
+  struct Attempt {
+    RpcId id;
+    ReplicaId replica;
+    double allow_for;
+  };
+  struct Busy {
+    RpcId id;
+    double not_before_for;
+  };
+  struct Fail {
+    RpcId id;
+  };
+  struct StopAttempt {
+    CallId id;
+  };
+  struct SetAlarm {
+    double span;
+    std::uint64_t cookie;
+  };
+  struct Observe {
+    bool on;
+  };
+  using Action = std::variant<Attempt, Busy, Fail, StopAttempt, SetAlarm, Observe>;
+
+  struct ModuleAlarm {
+    std::uint64_t cookie;
+  };
+  struct CallExpiry {
+    CallId id;
+  };
+  struct Overdue {
+    RpcId id;
+  };
+  struct Alarm {
+    Micros at = 0;
+    std::uint64_t order = 0;  // equal times ring in the order they were set
+    std::variant<ModuleAlarm, CallExpiry, Overdue> what;
+    bool operator>(const Alarm& o) const { return at != o.at ? at > o.at : order > o.order; }
+  };
+
+  // ActionSink: only collects; carry_out does the work once the module has seen the whole turn.
+  void attempt(RpcId id, ReplicaId worker, double allow_for) override;
+  void busy(RpcId id, double not_before_for) override;
+  void fail(RpcId id) override;
+  void stop_attempt(RpcId id, std::uint16_t attempt) override;
+  void set_alarm(double span, std::uint64_t cookie) override;
+  void observe(bool on) override;
+
+  void take(Arrived& e);
+  void take(Gone& e);
+  void take(Writable& e);
+  void take(Events& e);
+  void take(Ended& e);
+  void take(ListNews& e);
+
+  void carry_out(const Attempt& a);
+  void carry_out(const Busy& a);
+  void carry_out(const Fail& a);
+  void carry_out(const StopAttempt& a);
+  void carry_out(const SetAlarm& a);
+  void carry_out(const Observe& a);
+
+  void ring(const Alarm& alarm);
+  void wake(Micros at, std::variant<ModuleAlarm, CallExpiry, Overdue> what);
+  Rpc* find(RpcId id);
+  Call* find_out(CallId id, Rpc*& rpc);
+  Subchannels& subchannels(const Rpc& rpc) const;
+  void end_call(CallId id, Rpc& rpc, Call& call, pipitcleat::Outcome outcome, std::uint32_t kept,
+                std::vector<float> report);
+  void cancel_call(CallId id, Rpc& rpc, Call& call, pipitcleat::Outcome outcome);
+  std::shared_ptr<Channel> close(Rpc& rpc);  // takes the channel for the one final answer
+  void drop_if_done(RpcId id, const Rpc& rpc);
+
+  BrokerSettings set_;
+  pipitcleat::Balancer module_;
+  Clock& clock_;
+  ReplicaList& list_;
+  std::array<Subchannels*, kWires> subchannels_{};
+  Micros now_ = 0;
+  Phase phase_ = Phase::starting;
+  Micros drain_from_ = kNever;
+  std::size_t ready_replicas_ = 0;
+  std::unordered_map<ReplicaId, Endpoint> replicas_;
+  std::unordered_map<ReplicaId, Micros> retired_;  // when a replica was known to drain or be gone
+  bool heard_ = false;                             // the list has answered, or failed to
+  RpcId last_id_ = 0;
+  std::size_t open_ = 0;  // RPCs without a final answer
+  std::size_t body_bytes_ = 0;
+  std::unordered_map<RpcId, Rpc> rpcs_;
+  std::vector<Event> gathered_;
+  std::vector<Action> actions_;
+  std::priority_queue<Alarm, std::vector<Alarm>, std::greater<>> alarms_;
+  std::uint64_t alarms_set_ = 0;
+  Counters counters_;
+};
+
+}  // namespace flintglade::core
--- /dev/null
+++ b/src/core/counters.cpp
@@ -0,0 +1,33 @@
+#include "core/counters.h"
+
+namespace flintglade::core {
+
+std::string Counters::text() const {
+  static constexpr std::array<const char*, 8> kOutcomes = {"error",          "ok",    "full",      "timeout",
+                                                           "connect_failed", "reset", "cancelled", "moot"};
+  std::string out = "counters";
+  const auto add = [&out](const char* name, std::uint64_t value) {
+    out.append(" ").append(name).append("=").append(std::to_string(value));
+  };
+  add("rpcs", rpcs);
+  add("retries", retries);
+  add("resumed", resumed);
+  add("served", served);
+  add("broken", broken);
+  add("unavailable", unavailable);
+  add("overloaded", overloaded);
+  add("failed", failed);
+  add("overdue", overdue);
+  add("gone", gone);
+  add("calls", calls);
+  add("second_calls", second_calls);
+  for (std::size_t i = 0; i < kOutcomes.size(); ++i) add(kOutcomes[i], outcomes[i]);
+  add("list_news", list_news);
+  add("list_failures", list_failures);
+  add("slow_clients", slow_clients);
+  add("turns", turns);
+  add("longest_turn_us", longest_turn_us);
+  return out;
+}
+
+}  // namespace flintglade::core
--- /dev/null
+++ b/src/core/counters.h
@@ -0,0 +1,33 @@
+// What the router took in, sent and answered since it started.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace flintglade::core {
+
+struct Counters {
+  std::uint64_t rpcs = 0;     // taken in
+  std::uint64_t retries = 0;  // of them, marked as a client's retry
+  std::uint64_t resumed = 0;  // of them, asking for the rest of a broken stream
+  std::uint64_t served = 0;
+  std::uint64_t broken = 0;       // streams that broke after their first event
+  std::uint64_t unavailable = 0;  // refused by the module
+  std::uint64_t overloaded = 0;   // refused for lack of memory, before the module saw them
+  std::uint64_t failed = 0;
+  std::uint64_t overdue = 0;                // answered by the core because the module had not by the deadline
+  std::uint64_t gone = 0;                   // clients that went away first
+  std::uint64_t calls = 0;                  // call attempts sent
+  std::uint64_t second_calls = 0;           // of them, after the first attempt of their RPC
+  std::array<std::uint64_t, 8> outcomes{};  // of call attempts, by pipitcleat::Outcome
+  std::uint64_t list_news = 0;
+  std::uint64_t list_failures = 0;
+  std::uint64_t slow_clients = 0;  // times an answer was held up by a client that read too slowly
+  std::uint64_t turns = 0;
+  std::uint64_t longest_turn_us = 0;
+
+  std::string text() const;  // one line, name=value
+};
+
+}  // namespace flintglade::core
--- /dev/null
+++ b/src/core/ports.h
@@ -0,0 +1,101 @@
+// What the core needs from the outside, and nothing of how it is done: the client's side of an RPC (a front),
+// the model replicas (subchannels), the replica list, and the clock.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "pipitcleat/balancer.h"
+
+namespace flintglade::core {
+
+using Micros = std::int64_t;  // whole microseconds on the monotonic clock
+inline constexpr Micros kSecond = 1'000'000;
+inline constexpr Micros kMilli = 1'000;
+inline constexpr Micros kNever = INT64_MAX;
+
+using RpcId = pipitcleat::RequestId;
+using ReplicaId = pipitcleat::WorkerId;
+
+struct CallId {  // one call attempt of an RPC
+  RpcId rpc = 0;
+  std::uint32_t attempt = 0;
+  auto operator<=>(const CallId&) const = default;
+};
+
+// Which pair of front and subchannels an RPC belongs to. The core only hands the RPC back to its own kind.
+enum class Wire : std::uint8_t { http = 0, kserve = 1 };
+inline constexpr std::size_t kWires = 2;
+
+struct RpcRequest {
+  Wire wire = Wire::http;
+  std::uint32_t klass = 0;
+  std::uint32_t tenant = 0;
+  std::uint64_t session = 0;
+  std::uint64_t prefix = 0;
+  double prompt_tokens = 0.0;
+  double prefix_tokens = 0.0;
+  double output_cap = 0.0;
+  bool is_retry = false;
+  bool resumed = false;
+  Micros patience = 0;   // how long the client waits for the first event
+  std::string trace_id;  // the client's own name for it
+  std::string method;    // opaque to the core: handed on to the subchannel
+  std::string target;
+  std::string body;
+};
+
+// How an RPC that was not served and not refused ended.
+enum class Failure : std::uint8_t { error, deadline };
+
+// The client's side of one RPC. Exactly one of finish, break_off, unavailable and fail ends it.
+class Channel {
+ public:
+  virtual ~Channel() = default;
+  // Events of the answer, in order and whole. False: the client reads too slowly; nothing more is to come
+  // until the front says Broker::writable.
+  virtual bool pass(std::string_view events) = 0;
+  virtual void finish() = 0;                         // the answer is whole
+  virtual void break_off() = 0;                      // the answer broke after its first event
+  virtual void unavailable(Micros retry_after) = 0;  // refused: trying again is harmless; 0: no advice
+  virtual void fail(Failure why) = 0;
+};
+
+struct Endpoint {
+  pipitcleat::Worker replica;
+  std::string address;  // host:port
+};
+
+struct ListNews {
+  pipitcleat::ListKind kind = pipitcleat::ListKind::failed;
+  std::uint32_t version = 0;
+  std::vector<Endpoint> entries;
+};
+
+// The model replicas behind one wire. Each call is answered by one Broker::call_ended, unless cancelled.
+class Subchannels {
+ public:
+  virtual ~Subchannels() = default;
+  // no_new_after: the moment from which no first byte of a call may be written; kNever while it is ready.
+  virtual void update(const Endpoint& endpoint, Micros no_new_after) = 0;
+  virtual void call(CallId id, ReplicaId replica, std::shared_ptr<const RpcRequest> rpc, Micros patience) = 0;
+  virtual void cancel(CallId id) = 0;              // silent: no call_ended follows
+  virtual void pause(CallId id, bool paused) = 0;  // stop or go on reading its answer
+};
+
+class ReplicaList {
+ public:
+  virtual ~ReplicaList() = default;
+  virtual void observe(bool on) = 0;
+};
+
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  virtual Micros now() = 0;
+};
+
+}  // namespace flintglade::core
--- /dev/null
+++ b/src/discovery/entries.h
@@ -0,0 +1,24 @@
+// Discovery's JSON to the core's list news, checked here.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/ports.h"
+
+namespace flintglade::discovery {
+
+struct Names {  // what the settings call zones and kinds of machine; a replica has their position
+  std::vector<std::string> zones;
+  std::vector<std::string> kinds;
+  core::Micros unix_to_monotonic = 0;  // added to Unix time it gives our clock
+};
+
+// A replica's id is made of its uid alone, so that it is the same on every router and after a restart.
+core::ReplicaId replica_id(std::string_view uid);
+
+// False: not a list in discovery's form. Entries without a uid or a usable address are left out.
+bool parse_list(std::string_view json, const Names& names, core::ListNews& out);
+
+}  // namespace flintglade::discovery
--- /dev/null
+++ b/src/discovery/watch.cpp
@@ -0,0 +1,147 @@
+#include "discovery/watch.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <limits>
+
+namespace flintglade::discovery {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+// Discovery answers calls in turn and gives a waiting one up after 2 s; an open watch sends an empty line
+// every 2 s. Longer silence than this means that nobody is there: TCP would not say so.
+constexpr auto kFirstSilence = std::chrono::milliseconds(3000);
+constexpr auto kSilence = std::chrono::milliseconds(4500);
+constexpr std::size_t kLongestLine = 8u << 20;
+}  // namespace
+
+class Watch::Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(Watch& owner) : owner_(&owner), socket_(owner.io_), silence_(owner.io_) {
+    parser_.eager(true);
+    parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
+  }
+
+  void start() {
+    error_code ec;
+    const auto address = asio::ip::make_address(owner_->at_.host, ec);
+    if (ec) return fail();
+    request_ = "GET /v1/endpoints?stream=1";
+    if (owner_->have_list_) request_ += "&index=" + std::to_string(owner_->version_);
+    request_ += " HTTP/1.1\r\nHost: discovery\r\nAccept: application/json\r\n\r\n";
+    expect_within(kFirstSilence);
+    socket_.async_connect({address, owner_->at_.port}, [self = shared_from_this()](error_code failed) {
+      if (failed) return self->fail();
+      asio::async_write(self->socket_, asio::buffer(self->request_),
+                        [self](error_code wrong, std::size_t) { wrong ? self->fail() : self->read(); });
+    });
+  }
+
+  void stop() {
+    owner_ = nullptr;
+    error_code ignored;
+    silence_.cancel();
+    socket_.close(ignored);
+  }
+
+ private:
+  void expect_within(std::chrono::milliseconds span) {
+    silence_.expires_after(span);
+    silence_.async_wait([self = shared_from_this()](error_code ec) {
+      if (!ec) self->fail();
+    });
+  }
+
+  void read() {
+    if (owner_ == nullptr) return;
+    socket_.async_read_some(buffer_.prepare(16384),
+                            [self = shared_from_this()](error_code ec, std::size_t n) {
+                              if (ec) return self->fail();
+                              self->buffer_.commit(n);
+                              self->take();
+                            });
+  }
+
+  void take() {
+    if (owner_ == nullptr) return;
+    error_code ec;
+    while (buffer_.size() > 0 && !parser_.is_done()) {
+      const std::size_t used = parser_.put(buffer_.data(), ec);
+      buffer_.consume(used);
+      if (ec == http::error::need_more) break;
+      if (ec) return fail();
+    }
+    if (parser_.is_header_done()) {
+      if (parser_.get().result() != http::status::ok) return fail();
+      lines_ += std::exchange(parser_.get().body(), {});
+      std::size_t from = 0;
+      for (std::size_t end; (end = lines_.find('\n', from)) != std::string::npos; from = end + 1) {
+        if (!line(std::string_view(lines_).substr(from, end - from))) return fail();
+        if (owner_ == nullptr) return;
+      }
+      lines_.erase(0, from);
+      if (lines_.size() > kLongestLine) return fail();
+      expect_within(kSilence);
+    }
+    if (parser_.is_done()) return fail();  // a watch lasts until its connection ends
+    read();
+  }
+
+  bool line(std::string_view text) {
+    if (text.find_first_not_of(" \r\t") == std::string_view::npos) return true;
+    core::ListNews news;
+    if (!parse_list(text, owner_->names_, news)) return false;
+    owner_->version_ = news.version;
+    owner_->have_list_ = true;
+    owner_->tell_(std::move(news));
+    return true;
+  }
+
+  void fail() {
+    if (owner_ == nullptr) return;
+    Watch* owner = owner_;
+    stop();
+    owner->session_.reset();
+    owner->tell_({});  // a failure: the list held stays in force
+  }
+
+  Watch* owner_;  // empty once stopped
+  tcp::socket socket_;
+  asio::steady_timer silence_;
+  std::string request_;
+  boost::beast::flat_buffer buffer_;
+  http::response_parser<http::string_body> parser_;
+  std::string lines_;
+};
+
+Watch::Watch(asio::io_context& io, config::HostPort at, Names names)
+    : io_(io), at_(std::move(at)), names_(std::move(names)) {}
+Watch::~Watch() { observe(false); }
+
+void Watch::known(const std::string& json) {
+  core::ListNews news;
+  if (!json.empty() && parse_list(json, names_, news)) {
+    version_ = news.version;
+    have_list_ = true;
+  }
+  // Told even where nothing is known: it is on this word that the module first asks for the list.
+  news.kind = pipitcleat::ListKind::cached;
+  tell_(std::move(news));
+}
+
+void Watch::observe(bool on) {
+  if (session_) {
+    session_->stop();
+    session_.reset();
+  }
+  if (!on) return;
+  const auto session = session_ = std::make_shared<Session>(*this);
+  session->start();
+}
+
+}  // namespace flintglade::discovery
--- /dev/null
+++ b/src/discovery/watch.h
@@ -0,0 +1,35 @@
+// The watch on discovery: one connection that stays open and brings the changes of the replica list.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <functional>
+#include <memory>
+
+#include "config/config.h"
+#include "core/ports.h"
+#include "discovery/entries.h"
+
+namespace flintglade::discovery {
+
+class Watch final : public core::ReplicaList {
+ public:
+  using Tell = std::function<void(core::ListNews)>;
+  Watch(boost::asio::io_context& io, config::HostPort at, Names names);
+  ~Watch() override;
+  void tell(Tell tell) { tell_ = std::move(tell); }
+  void known(const std::string& json);  // the list as it was last: the watch starts from its version
+  // The module asks, and asks again after a failure; the watch never retries by itself.
+  void observe(bool on) override;
+
+ private:
+  class Session;
+  boost::asio::io_context& io_;
+  config::HostPort at_;
+  Names names_;
+  Tell tell_;
+  std::uint32_t version_ = 0;
+  bool have_list_ = false;
+  std::shared_ptr<Session> session_;
+};
+
+}  // namespace flintglade::discovery
--- /dev/null
+++ b/src/http/front.cpp
@@ -0,0 +1,345 @@
+#include "http/front.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <cstdio>
+#include <optional>
+#include <utility>
+
+#include "http/request.h"
+
+namespace flintglade::http {
+
+namespace asio = boost::asio;
+namespace beast_http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using core::Micros;
+
+namespace {
+
+constexpr std::size_t kLargestBody = 256u << 10;
+constexpr std::size_t kLargestHead = 16u << 10;
+constexpr std::size_t kRead = 16384;
+// What may wait for a slow client before its replica is no longer read.
+constexpr std::size_t kBacklog = 64u << 10;
+constexpr Micros kIdleClient = 90 * core::kSecond;
+constexpr Micros kHalfRequest = 15 * core::kSecond;  // a request that is still not whole after this long
+constexpr Micros kStuckWrite = 30 * core::kSecond;   // a client that reads nothing for this long
+constexpr std::string_view kPath = "/v1/chat/completions";
+
+const char* reason(unsigned status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 413:
+      return "Payload Too Large";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Internal Server Error";
+  }
+}
+
+}  // namespace
+
+class HttpFront::Connection final : public core::Channel, public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(HttpFront& owner, tcp::socket socket) : owner_(&owner), socket_(std::move(socket)) {
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    since_ = owner.clock_.now();
+    renew();
+  }
+
+  void read() {
+    if (owner_ == nullptr || reading_ || buffer_.size() > kLargestHead) return;
+    reading_ = true;
+    socket_.async_read_some(buffer_.prepare(kRead),
+                            [self = shared_from_this()](error_code ec, std::size_t n) {
+                              self->reading_ = false;
+                              if (self->owner_ == nullptr) return;
+                              if (ec) return self->drop();
+                              self->buffer_.commit(n);
+                              if (self->rpc_ == 0) self->parse();
+                              self->read();  // also while an answer runs: a client that goes away is noticed
+                            });
+  }
+
+  // ---- core::Channel ----
+  bool pass(std::string_view events) override {
+    if (owner_ == nullptr) return true;
+    if (!began_) {
+      began_ = true;
+      out_ += "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n";
+      if (last()) out_ += "Connection: close\r\n";
+      out_ += "Transfer-Encoding: chunked\r\n\r\n";
+    }
+    std::array<char, 24> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", events.size());
+    out_.append(size.data()).append(events).append("\r\n");
+    write();
+    held_up_ = out_.size() > kBacklog;
+    return !held_up_;
+  }
+  void finish() override {
+    out_ += "0\r\n\r\n";
+    answered();
+  }
+  void break_off() override {  // what has come goes out; the last chunk does not
+    close_after_ = true;
+    answered();
+  }
+  void unavailable(Micros retry_after) override {
+    std::array<char, 48> text{};
+    if (retry_after > 0) {
+      std::snprintf(text.data(), text.size(), "Retry-After: %.3f\r\n",
+                    static_cast<double>(retry_after) / 1e6);
+    }
+    respond(503, "refused: try again later\n", text.data());
+    answered();
+  }
+  void fail(core::Failure why) override {
+    const bool late = why == core::Failure::deadline;
+    respond(late ? 504 : 500, late ? "no answer in time\n" : "the request failed\n");
+    answered();
+  }
+
+  bool idle() const { return rpc_ == 0 && out_.empty() && !writing_ && buffer_.size() == 0 && !half_; }
+  Micros since() const { return since_; }
+  bool expired(Micros now) const {
+    if (writing_ || !out_.empty()) return now - since_ > kStuckWrite;
+    if (rpc_ != 0) return false;
+    return now - since_ > (idle() ? kIdleClient : kHalfRequest);
+  }
+  // Ends the connection; a client whose RPC is still open has gone away.
+  void drop() {
+    if (owner_ == nullptr) return;
+    const auto self = shared_from_this();
+    HttpFront& owner = *std::exchange(owner_, nullptr);
+    if (rpc_ != 0) owner.broker_.client_gone(rpc_);
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+    owner.connections_.erase(self);
+    if (!owner.accepting_) owner.accept();
+  }
+
+ private:
+  void renew() {
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->body_limit(kLargestBody);
+    parser_->header_limit(kLargestHead);
+    half_ = false;
+  }
+  bool last() const { return close_after_ || owner_->broker_.phase() != core::Phase::serving; }
+
+  void parse() {
+    while (owner_ != nullptr && rpc_ == 0 && !close_after_ && buffer_.size() > 0) {
+      if (!half_) since_ = owner_->clock_.now();
+      half_ = true;
+      error_code ec;
+      const std::size_t used = parser_->put(buffer_.data(), ec);
+      buffer_.consume(used);
+      if (ec == beast_http::error::need_more) {
+        if (!parser_->is_done()) return;
+      } else if (ec) {
+        close_after_ = true;
+        const bool large = ec == beast_http::error::body_limit;
+        respond(large ? 413 : 400, large ? "the body is larger than 256 KiB\n" : "not an HTTP request\n");
+        return write();
+      }
+      if (!parser_->is_done()) continue;
+      if (!parser_->keep_alive()) close_after_ = true;
+      Request request = parser_->release();
+      renew();
+      handle(std::move(request));
+    }
+  }
+
+  void handle(Request&& request) {
+    const auto target = request.target();
+    const std::string_view path = std::string_view(target.data(), target.size()).substr(0, target.find('?'));
+    if (path == "/ready") {
+      const bool ready = owner_->broker_.ready();
+      respond(ready ? 200 : 503, std::string(core::to_string(owner_->broker_.phase())) + "\n");
+      return write();
+    }
+    if (path != kPath) {
+      respond(404, "there is nothing here\n");
+      return write();
+    }
+    if (request.method() != beast_http::verb::post) {
+      respond(405, "POST only\n");
+      return write();
+    }
+    auto rpc = std::make_shared<core::RpcRequest>();
+    const std::string wrong = to_rpc(std::move(request), owner_->set_, *rpc);
+    if (!wrong.empty()) {
+      respond(400, wrong + "\n");
+      return write();
+    }
+    began_ = false;
+    rpc_ = owner_->broker_.arrived(std::move(rpc), shared_from_this());
+  }
+
+  void respond(unsigned status, const std::string& body, const char* extra = "") {
+    if (owner_ == nullptr) return;
+    out_ += "HTTP/1.1 " + std::to_string(status) + " " + reason(status) +
+            "\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + extra;
+    if (last()) out_ += "Connection: close\r\n";
+    out_ += "\r\n" + body;
+  }
+
+  void answered() {
+    if (owner_ == nullptr) return;
+    rpc_ = 0;
+    held_up_ = false;
+    if (last()) close_after_ = true;
+    write();
+    if (!writing_) settle();
+  }
+
+  void write() {
+    if (owner_ == nullptr || writing_ || out_.empty()) return;
+    writing_ = true;
+    since_ = owner_->clock_.now();
+    sending_ = std::exchange(out_, {});
+    asio::async_write(socket_, asio::buffer(sending_),
+                      [self = shared_from_this()](error_code ec, std::size_t) { self->wrote(ec); });
+  }
+
+  void wrote(error_code ec) {
+    writing_ = false;
+    sending_.clear();
+    if (owner_ == nullptr) return;
+    if (ec) return drop();
+    since_ = owner_->clock_.now();
+    if (!out_.empty()) return write();
+    if (held_up_) {
+      held_up_ = false;
+      owner_->broker_.writable(rpc_);
+    }
+    settle();
+  }
+
+  // All is written: the connection closes, or goes on with the next request, if one has come already.
+  void settle() {
+    if (rpc_ != 0) return;
+    if (close_after_) return drop();
+    parse();
+    read();
+  }
+
+  HttpFront* owner_;  // empty once closed
+  tcp::socket socket_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<beast_http::request_parser<beast_http::string_body>> parser_;
+  std::string out_, sending_;
+  core::RpcId rpc_ = 0;  // the RPC that waits for its answer; 0: none
+  Micros since_ = 0;     // the last step forward: a request's first byte, or a write
+  bool reading_ = false, writing_ = false, began_ = false, held_up_ = false, half_ = false,
+       close_after_ = false;
+};
+
+HttpFront::HttpFront(asio::io_context& io, core::Broker& broker, core::Clock& clock, FrontSettings settings)
+    : io_(io),
+      broker_(broker),
+      clock_(clock),
+      set_(std::move(settings)),
+      acceptor_(io),
+      sweeper_(io),
+      again_(io) {
+  sweep();
+}
+
+HttpFront::~HttpFront() {
+  accepting_ = true;  // drop() is not to accept anew
+  while (!connections_.empty()) (*connections_.begin())->drop();
+}
+
+std::string HttpFront::listen(const config::HostPort& at) {
+  error_code ec;
+  const auto ip = asio::ip::make_address(at.host, ec);
+  const tcp::endpoint endpoint(ip, at.port);
+  if (!ec) acceptor_.open(endpoint.protocol(), ec);
+  if (!ec) acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec) acceptor_.bind(endpoint, ec);
+  if (!ec) acceptor_.listen(tcp::acceptor::max_listen_connections, ec);
+  if (ec) return "cannot listen on " + at.host + ":" + std::to_string(at.port) + ": " + ec.message();
+  port_ = acceptor_.local_endpoint().port();
+  accept();
+  return "";
+}
+
+void HttpFront::accept() {
+  // Past the budget of descriptors new clients wait in the listener's queue until a connection ends.
+  if (connections_.size() >= set_.most_connections && !drop_one_idle()) {
+    accepting_ = false;
+    return;
+  }
+  accepting_ = true;
+  acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
+    if (ec == asio::error::operation_aborted) return;
+    if (ec) {
+      // EMFILE and its like: accepting again at once would spin. Give a descriptor back and wait a little.
+      if (shed_) shed_();
+      return accept_later();
+    }
+    const auto connection = std::make_shared<Connection>(*this, std::move(socket));
+    connections_.insert(connection);
+    connection->read();
+    accept();
+  });
+}
+
+void HttpFront::accept_later() {
+  again_.expires_after(std::chrono::milliseconds(20));
+  again_.async_wait([this](error_code ec) {
+    if (!ec) accept();
+  });
+}
+
+bool HttpFront::drop_one_idle() {
+  Connection* oldest = nullptr;
+  for (const auto& c : connections_) {
+    if (c->idle() && (oldest == nullptr || c->since() < oldest->since())) oldest = c.get();
+  }
+  if (oldest == nullptr) return false;
+  accepting_ = true;  // the caller accepts; drop() need not
+  oldest->drop();
+  return true;
+}
+
+void HttpFront::close_idle() {
+  std::vector<std::shared_ptr<Connection>> idle;
+  std::copy_if(connections_.begin(), connections_.end(), std::back_inserter(idle),
+               [](const auto& c) { return c->idle(); });
+  for (const auto& c : idle) c->drop();
+}
+
+void HttpFront::sweep() {
+  const Micros now = clock_.now();
+  std::vector<std::shared_ptr<Connection>> expired;
+  std::copy_if(connections_.begin(), connections_.end(), std::back_inserter(expired),
+               [now](const auto& c) { return c->expired(now); });
+  for (const auto& c : expired) c->drop();
+  sweeper_.expires_after(std::chrono::seconds(1));
+  sweeper_.async_wait([this](error_code ec) {
+    if (!ec) sweep();
+  });
+}
+
+}  // namespace flintglade::http
--- /dev/null
+++ b/src/http/front.h
@@ -0,0 +1,53 @@
+// The platform's front: HTTP/1.1 from clients to RPCs of the core, and answers back.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "config/config.h"
+#include "core/broker.h"
+#include "core/ports.h"
+
+namespace flintglade::http {
+
+struct FrontSettings {
+  std::vector<std::string> classes;
+  std::vector<std::string> tenants;
+  std::vector<core::Micros> patience;  // by class, for clients that do not say how long they wait
+  std::size_t most_connections = 448;
+};
+
+class HttpFront {
+ public:
+  HttpFront(boost::asio::io_context& io, core::Broker& broker, core::Clock& clock, FrontSettings settings);
+  ~HttpFront();
+  std::string listen(const config::HostPort& at);  // empty, or one line that says what is wrong
+  std::uint16_t port() const { return port_; }
+  // Called when no descriptor is left: gives one back elsewhere.
+  void on_exhausted(std::function<bool()> shed) { shed_ = std::move(shed); }
+  void close_idle();  // draining: no RPC will come any more on connections that have none
+
+ private:
+  class Connection;
+  void accept();
+  void accept_later();
+  void sweep();
+  bool drop_one_idle();
+
+  boost::asio::io_context& io_;
+  core::Broker& broker_;
+  core::Clock& clock_;
+  FrontSettings set_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer sweeper_, again_;
+  std::function<bool()> shed_;
+  std::set<std::shared_ptr<Connection>> connections_;
+  std::uint16_t port_ = 0;
+  bool accepting_ = false;
+};
+
+}  // namespace flintglade::http
--- /dev/null
+++ b/src/http/sse.h
@@ -0,0 +1,31 @@
+// Server-sent events across the borders of chunks: hands on whole events, byte for byte, and reads from them
+// what the module wants to know.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace flintglade::http {
+
+class EventStream {
+ public:
+  // Takes bytes as they come; gives all events that are whole by now, unchanged.
+  std::string feed(std::string_view bytes);
+  // What is left at the end of a whole stream: an event without its empty line.
+  std::string rest();
+  bool overlong() const { return partial_.size() > kLongestEvent; }
+  std::uint32_t cached_tokens() const { return cached_tokens_; }
+
+ private:
+  static constexpr std::size_t kLongestEvent = 256u << 10;
+  void read(std::string_view events);
+  std::string partial_;
+  std::uint32_t cached_tokens_ = 0;
+};
+
+// A load report, `TEXT inflight=7, queue=2`: the values of the named fields in their order; empty if none.
+std::vector<float> parse_report(std::string_view text, const std::vector<std::string>& fields);
+
+}  // namespace flintglade::http
--- /dev/null
+++ b/src/http/subchannels.cpp
@@ -0,0 +1,307 @@
+#include "http/subchannels.h"
+
+#include <algorithm>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <limits>
+#include <optional>
+
+#include "config/config.h"
+#include "http/sse.h"
+
+namespace flintglade::http {
+
+namespace asio = boost::asio;
+namespace beast_http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using core::Micros;
+using pipitcleat::Outcome;
+
+namespace {
+constexpr auto kSweep = std::chrono::milliseconds(200);
+// Connections are dropped this long before the replica may close them: a request that crosses the close
+// would end in a reset, which does not prove that it never ran.
+constexpr Micros kIdleMargin = 700 * core::kMilli;
+constexpr std::size_t kRead = 16384;
+}  // namespace
+
+class HttpSubchannels::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(HttpSubchannels& owner, core::ReplicaId replica)
+      : owner_(&owner), replica_(replica), socket_(owner.io_), dial_(owner.io_) {
+    ++owner.connections_;
+  }
+
+  void assign(core::CallId id, std::shared_ptr<const core::RpcRequest> rpc, Micros patience) {
+    id_ = id;
+    rpc_ = std::move(rpc);
+    expires_ = owner_->clock_.now() + patience;
+    busy_ = true;
+    written_ = paused_ = began_ = false;
+    events_ = {};
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+  }
+
+  void dial(const std::string& address) {
+    config::HostPort to;
+    error_code ec;
+    asio::ip::address ip;
+    if (!config::parse_host_port(address, to) || (ip = asio::ip::make_address(to.host, ec), ec)) {
+      return end(Outcome::connect_failed);
+    }
+    socket_.open(ip.is_v6() ? tcp::v6() : tcp::v4(), ec);
+    if (ec == asio::error::no_descriptors && owner_->shed_idle()) socket_.open(tcp::v4(), ec);
+    if (ec) return end(Outcome::connect_failed);
+    dial_.expires_after(std::chrono::microseconds(owner_->set_.dial_timeout));
+    dial_.async_wait([self = shared_from_this()](error_code cancelled) {
+      if (!cancelled && !self->connected_) self->end(Outcome::connect_failed);
+    });
+    socket_.async_connect({ip, to.port}, [self = shared_from_this()](error_code failed) {
+      if (self->owner_ == nullptr) return;
+      if (failed) return self->end(Outcome::connect_failed);
+      self->connected_ = true;
+      error_code ignored;
+      self->dial_.cancel();
+      self->socket_.set_option(tcp::no_delay(true), ignored);
+      self->send();
+      self->read();
+    });
+  }
+
+  void send() {
+    const auto sub = owner_->subs_.find(replica_);
+    // Its replica may have begun to drain while this connection came up. Nothing new may be written to it
+    // then, and a call of which no byte was written has never run.
+    const Micros now = owner_->clock_.now();
+    if (sub == owner_->subs_.end() || now >= sub->second.no_new_after || now >= expires_) {
+      return end(Outcome::connect_failed);
+    }
+    const Micros left = std::max<Micros>(1, (expires_ - now) / core::kMilli);
+    head_ = rpc_->method + " " + rpc_->target +
+            " HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: " + rpc_->trace_id +
+            "\r\nX-Expires-In-Ms: " + std::to_string(left) +
+            "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(rpc_->body.size()) +
+            "\r\n\r\n";
+    const std::array<asio::const_buffer, 2> parts = {asio::buffer(head_), asio::buffer(rpc_->body)};
+    asio::async_write(socket_, parts, [self = shared_from_this(), rpc = rpc_](error_code ec, std::size_t) {
+      if (self->owner_ == nullptr) return;
+      if (ec) return self->end(Outcome::connect_failed);  // broke before the last byte: never ran
+      self->written_ = true;
+    });
+  }
+
+  void read() {
+    if (owner_ == nullptr || reading_ || paused_) return;
+    reading_ = true;
+    socket_.async_read_some(buffer_.prepare(kRead),
+                            [self = shared_from_this()](error_code ec, std::size_t n) {
+                              self->reading_ = false;
+                              if (self->owner_ == nullptr) return;
+                              self->buffer_.commit(n);
+                              self->take(ec);
+                            });
+  }
+
+  void pause(bool paused) {
+    paused_ = paused;
+    last_event_ = owner_->clock_.now();
+    if (!paused) read();
+  }
+
+  // Ends the connection without a word to the core.
+  void close() {
+    if (owner_ == nullptr) return;
+    --owner_->connections_;
+    owner_ = nullptr;
+    error_code ignored;
+    dial_.cancel();
+    socket_.close(ignored);
+  }
+
+  Micros idle_since() const { return idle_since_; }
+  core::ReplicaId replica() const { return replica_; }
+  bool stalled(Micros now) const { return began_ && !paused_ && now - last_event_ > owner_->set_.stall; }
+  // How a call ends whose connection broke: only what was not written whole is proved never to have run.
+  void broke() { end(written_ ? Outcome::reset : Outcome::connect_failed); }
+
+ private:
+  void take(error_code ec) {
+    if (!busy_) return retire();  // idle: it has closed, or says what nobody asked for
+    while (buffer_.size() > 0 && !parser_->is_done()) {
+      error_code wrong;
+      const std::size_t used = parser_->put(buffer_.data(), wrong);
+      buffer_.consume(used);
+      if (wrong == beast_http::error::need_more) break;
+      if (wrong) return broke();
+    }
+    if (parser_->is_header_done() && parser_->get().result() == beast_http::status::ok) {
+      pass_on(events_.feed(std::exchange(parser_->get().body(), {})));
+      if (events_.overlong()) return broke();
+    }
+    if (parser_->is_done()) return done();
+    if (ec) return broke();
+    read();
+  }
+
+  void pass_on(std::string events) {
+    if (events.empty()) return;
+    began_ = true;
+    last_event_ = owner_->clock_.now();
+    owner_->broker_.call_events(id_, std::move(events));
+  }
+
+  void done() {
+    const auto& head = parser_->get();
+    const unsigned status = head.result_int();
+    Outcome outcome = Outcome::error;
+    if (status == 200) {
+      pass_on(events_.rest());
+      outcome = began_ ? Outcome::ok : Outcome::error;  // an answer without an event is none
+    } else if ((status == 503 || status == 504) && head["X-Never-Ran"] == "1") {
+      outcome = Outcome::full;
+    }
+    const bool reusable = parser_->keep_alive() && written_ && buffer_.size() == 0;
+    owner_->broker_.call_ended(id_, outcome, events_.cached_tokens());
+    HttpSubchannels& owner = *owner_;
+    owner.calls_.erase(key(id_));
+    busy_ = began_ = paused_ = false;
+    rpc_.reset();
+    const auto sub = owner.subs_.find(replica_);
+    if (!reusable || sub == owner.subs_.end() || sub->second.no_new_after != core::kNever) return close();
+    idle_since_ = owner.clock_.now();
+    sub->second.idle.push_back(shared_from_this());
+    read();  // so that its end is noticed while it is idle
+  }
+
+  void end(Outcome outcome) {
+    if (owner_ == nullptr) return;
+    const auto self = shared_from_this();
+    owner_->calls_.erase(key(id_));
+    owner_->broker_.call_ended(id_, outcome);
+    close();
+  }
+
+  void retire() {
+    const auto sub = owner_->subs_.find(replica_);
+    if (sub != owner_->subs_.end()) std::erase(sub->second.idle, shared_from_this());
+    close();
+  }
+
+  HttpSubchannels* owner_;  // empty once closed
+  core::ReplicaId replica_;
+  tcp::socket socket_;
+  asio::steady_timer dial_;
+  core::CallId id_;
+  std::shared_ptr<const core::RpcRequest> rpc_;
+  std::string head_;
+  Micros expires_ = 0, idle_since_ = 0, last_event_ = 0;
+  bool busy_ = false, connected_ = false, written_ = false, reading_ = false, paused_ = false, began_ = false;
+  boost::beast::flat_buffer buffer_;
+  std::optional<beast_http::response_parser<beast_http::string_body>> parser_;
+  EventStream events_;
+};
+
+HttpSubchannels::HttpSubchannels(asio::io_context& io, core::Broker& broker, core::Clock& clock,
+                                 SubchannelSettings settings)
+    : io_(io), broker_(broker), clock_(clock), set_(settings), sweeper_(io) {
+  sweep();
+}
+
+HttpSubchannels::~HttpSubchannels() {
+  for (auto& [id, connection] : calls_) connection->close();
+  for (auto& [id, sub] : subs_) drop_idle(sub);
+}
+
+Micros HttpSubchannels::keep_for() const {
+  return std::max(set_.conn_idle / 2, set_.conn_idle - kIdleMargin);
+}
+
+void HttpSubchannels::update(const core::Endpoint& endpoint, Micros no_new_after) {
+  Subchannel& sub = subs_[endpoint.replica.id];
+  const bool moved = !endpoint.address.empty() && sub.address != endpoint.address;
+  if (moved) sub.address = endpoint.address;
+  sub.no_new_after = no_new_after;
+  if (moved || no_new_after != core::kNever) drop_idle(sub);
+}
+
+void HttpSubchannels::call(core::CallId id, core::ReplicaId replica,
+                           std::shared_ptr<const core::RpcRequest> rpc, Micros patience) {
+  const auto sub = subs_.find(replica);
+  const Micros now = clock_.now();
+  if (sub == subs_.end() || now >= sub->second.no_new_after) {
+    return broker_.call_ended(id, Outcome::connect_failed);
+  }
+  auto& idle = sub->second.idle;
+  if (!idle.empty() && now - idle.back()->idle_since() < keep_for()) {
+    const auto connection = idle.back();
+    idle.pop_back();
+    calls_[key(id)] = connection;
+    connection->assign(id, std::move(rpc), patience);
+    return connection->send();
+  }
+  if (connections_ >= set_.most_connections && !shed_idle()) {
+    return broker_.call_ended(id, Outcome::connect_failed);
+  }
+  const auto connection = std::make_shared<Connection>(*this, replica);
+  calls_[key(id)] = connection;
+  connection->assign(id, std::move(rpc), patience);
+  connection->dial(sub->second.address);
+}
+
+void HttpSubchannels::cancel(core::CallId id) {
+  const auto it = calls_.find(key(id));
+  if (it == calls_.end()) return;
+  const auto connection = it->second;
+  calls_.erase(it);
+  connection->close();
+}
+
+void HttpSubchannels::pause(core::CallId id, bool paused) {
+  const auto it = calls_.find(key(id));
+  if (it != calls_.end()) it->second->pause(paused);
+}
+
+void HttpSubchannels::drop_idle(Subchannel& sub) {
+  for (const auto& connection : sub.idle) connection->close();
+  sub.idle.clear();
+}
+
+bool HttpSubchannels::shed_idle() {
+  Subchannel* oldest = nullptr;
+  for (auto& [id, sub] : subs_) {
+    if (sub.idle.empty()) continue;
+    if (oldest == nullptr || sub.idle.front()->idle_since() < oldest->idle.front()->idle_since())
+      oldest = &sub;
+  }
+  if (oldest == nullptr) return false;
+  oldest->idle.front()->close();
+  oldest->idle.pop_front();
+  return true;
+}
+
+void HttpSubchannels::sweep() {
+  const Micros now = clock_.now();
+  for (auto& [id, sub] : subs_) {
+    while (!sub.idle.empty() && now - sub.idle.front()->idle_since() >= keep_for()) {
+      sub.idle.front()->close();
+      sub.idle.pop_front();
+    }
+  }
+  // A machine that vanished in the middle of an answer says nothing, and TCP does not notice. The client is
+  // better off with a broken stream, whose rest it can ask for, than with a silent one.
+  std::vector<std::shared_ptr<Connection>> stalled;
+  for (const auto& [id, connection] : calls_) {
+    if (connection->stalled(now)) stalled.push_back(connection);
+  }
+  for (const auto& connection : stalled) connection->broke();
+  sweeper_.expires_after(kSweep);
+  sweeper_.async_wait([this](error_code ec) {
+    if (!ec) sweep();
+  });
+}
+
+}  // namespace flintglade::http
--- /dev/null
+++ b/src/http/subchannels.h
@@ -0,0 +1,60 @@
+// The model replicas behind HTTP/1.1, and the connections to them: one call at a time on each, kept for the
+// next one while they are fresh.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <deque>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "core/broker.h"
+#include "core/ports.h"
+
+namespace flintglade::http {
+
+struct SubchannelSettings {
+  core::Micros dial_timeout = 150 * core::kMilli;
+  core::Micros conn_idle = 5 * core::kSecond;  // the replica closes a connection idle for this long
+  core::Micros stall = 2 * core::kSecond;      // a stream without an event for this long has broken
+  std::size_t most_connections = 448;
+};
+
+class HttpSubchannels final : public core::Subchannels {
+ public:
+  HttpSubchannels(boost::asio::io_context& io, core::Broker& broker, core::Clock& clock,
+                  SubchannelSettings settings);
+  ~HttpSubchannels() override;
+
+  void update(const core::Endpoint& endpoint, core::Micros no_new_after) override;
+  void call(core::CallId id, core::ReplicaId replica, std::shared_ptr<const core::RpcRequest> rpc,
+            core::Micros patience) override;
+  void cancel(core::CallId id) override;
+  void pause(core::CallId id, bool paused) override;
+  // Gives a descriptor back: closes the connection that has been idle longest. False: none is idle.
+  bool shed_idle();
+  std::size_t connections() const { return connections_; }
+
+ private:
+  class Connection;
+  struct Subchannel {
+    std::string address;
+    core::Micros no_new_after = core::kNever;
+    std::deque<std::shared_ptr<Connection>> idle;  // the freshest last
+  };
+  static std::uint64_t key(core::CallId id) { return id.rpc << 8 | (id.attempt & 0xff); }
+  core::Micros keep_for() const;
+  void sweep();
+  void drop_idle(Subchannel& sub);
+
+  boost::asio::io_context& io_;
+  core::Broker& broker_;
+  core::Clock& clock_;
+  SubchannelSettings set_;
+  boost::asio::steady_timer sweeper_;
+  std::unordered_map<core::ReplicaId, Subchannel> subs_;
+  std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> calls_;
+  std::size_t connections_ = 0;
+};
+
+}  // namespace flintglade::http
