--- /dev/null
+++ b/src/config/labels.cpp
@@ -0,0 +1,59 @@
+#include "config/labels.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace flintglade::config {
+namespace {
+
+constexpr std::int64_t kLongestWaitMs = 3'600'000;
+
+template <typename T>
+bool to_number(std::string_view text, T& out) {
+  const auto [at, code] = std::from_chars(text.data(), text.data() + text.size(), out);
+  return code == std::errc() && at == text.data() + text.size();
+}
+
+bool to_tokens(std::string_view text, double& out) {
+  return text.empty() || (to_number(text, out) && out >= 0.0 && out <= 1e9);
+}
+
+bool position(const std::vector<std::string>& names, std::string_view name, std::uint32_t& out) {
+  const auto it = std::find(names.begin(), names.end(), name);
+  out = static_cast<std::uint32_t>(it - names.begin());
+  return it != names.end();
+}
+
+}  // namespace
+
+std::uint64_t name_to_key(std::string_view name) {
+  std::uint64_t key = 0;
+  const auto [at, code] = std::from_chars(name.data(), name.data() + name.size(), key, 16);
+  if (code == std::errc() && at == name.data() + name.size()) return key;
+  key = 0xcbf29ce484222325ull;  // FNV-1a
+  for (const char c : name) key = (key ^ static_cast<unsigned char>(c)) * 0x100000001b3ull;
+  return name.empty() ? 0 : key;
+}
+
+std::string apply(const RequestLabels& request, const Labels& labels, core::RpcRequest& out) {
+  if (!position(labels.classes, request.klass, out.klass)) return "the class is unknown";
+  if (!labels.tenants.empty() && !position(labels.tenants, request.tenant, out.tenant))
+    return "the tenant is unknown";
+  out.patience = labels.patience[out.klass];
+  if (!request.expires_ms.empty()) {
+    std::int64_t ms = 0;
+    if (!to_number(request.expires_ms, ms) || ms < 0 || ms > kLongestWaitMs)
+      return "the time to wait is no number of milliseconds";
+    out.patience = ms * core::kMilli;
+  }
+  if (!to_tokens(request.prompt_tokens, out.prompt_tokens) ||
+      !to_tokens(request.prefix_tokens, out.prefix_tokens) || !to_tokens(request.output_cap, out.output_cap))
+    return "a length in tokens is malformed";
+  out.session = name_to_key(request.session);
+  out.prefix = name_to_key(request.prefix);
+  out.is_retry = request.again == "1";
+  out.resumed = request.again == "again";
+  return "";
+}
+
+}  // namespace flintglade::config
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -135,7 +135,7 @@
   // on the spot, rather than the process be killed with all it holds.
   if (body_bytes_ + e.request->body.size() > set_.body_budget) {
     ++counters_.overloaded;
-    e.channel->unavailable(kSecond);
+    e.channel->unavailable(kSecond, false);
     return;
   }
   Rpc& rpc = rpcs_[e.id];
@@ -182,6 +182,7 @@
   Rpc* rpc = find(e.id);
   if (rpc == nullptr || rpc->over() || !rpc->held_up) return;
   rpc->held_up = false;
+  rpc->last_event = now_;
   if (rpc->bound >= 0) subchannels(*rpc).pause({e.id, static_cast<std::uint32_t>(rpc->bound)}, false);
 }
 
@@ -201,7 +202,9 @@
     a.worker = call->replica;
     a.latency = to_seconds(now_ - call->sent);
     module_.on_accepted(to_seconds(now_), a, *this);
+    wake(now_ + set_.stall, StallCheck{e.id});
   }
+  rpc->last_event = now_;
   if (!rpc->channel->pass(e.bytes) && !rpc->held_up) {
     rpc->held_up = true;
     ++counters_.slow_clients;
@@ -262,9 +265,7 @@
 // ---- alarms
 // -------------------------------------------------------------------------------------------------
 
-void Broker::wake(Micros at, std::variant<ModuleAlarm, CallExpiry, Overdue> what) {
-  alarms_.push(Alarm{at, ++alarms_set_, what});
-}
+void Broker::wake(Micros at, What what) { alarms_.push(Alarm{at, ++alarms_set_, what}); }
 
 void Broker::ring(const Alarm& alarm) {
   if (const auto* m = std::get_if<ModuleAlarm>(&alarm.what)) {
@@ -275,6 +276,16 @@
     // A stream that the client already reads has no time-out any more.
     if (call == nullptr || rpc->bound == static_cast<int>(c->id.attempt)) return;
     cancel_call(c->id, *rpc, *call, Outcome::timeout);
+  } else if (const auto* s = std::get_if<StallCheck>(&alarm.what)) {
+    Rpc* rpc = nullptr;
+    Call* call = find_out(s->id, rpc);
+    if (call == nullptr || rpc->over()) return;
+    const Micros quiet = rpc->held_up ? 0 : now_ - rpc->last_event;
+    if (quiet < set_.stall) return wake(now_ + set_.stall - quiet, StallCheck{s->id});
+    // A machine that vanished in the middle of an answer says nothing, and TCP does not notice. The client is
+    // better off with a broken stream, whose rest it can ask for, than with a silent one.
+    ++counters_.stalled;
+    cancel_call(s->id, *rpc, *call, Outcome::reset);
   } else if (const auto* o = std::get_if<Overdue>(&alarm.what)) {
     Rpc* rpc = find(o->id);
     if (rpc == nullptr || rpc->over() || rpc->bound >= 0) return;
@@ -368,7 +379,7 @@
   Rpc* rpc = find(a.id);
   if (rpc == nullptr || rpc->over() || rpc->bound >= 0) return;
   ++counters_.unavailable;
-  close(*rpc)->unavailable(to_micros(a.not_before_for));
+  close(*rpc)->unavailable(to_micros(a.not_before_for), now_ >= rpc->deadline);
   drop_if_done(a.id, *rpc);
 }
 
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -24,6 +24,7 @@
   Micros drain_grace = 2 * kSecond;     // after a replica is known to drain or be gone
   Micros answer_grace = 20 * kMilli;    // after the deadline, for the final answer
   std::size_t body_budget = 48u << 20;  // bytes of request bodies held at once
+  Micros stall = 2 * kSecond;           // a stream without an event for this long has broken
   Micros linger = kSecond;              // how long a draining router goes on taking new RPCs
 };
 
@@ -71,6 +72,7 @@
     Micros deadline = 0;
     std::vector<Call> calls;
     int bound = -1;  // the attempt whose stream the client gets
+    Micros last_event = 0;
     bool held_up = false;
     bool over() const { return channel == nullptr; }
   };
@@ -131,10 +133,14 @@
   struct Overdue {
     RpcId id;
   };
+  struct StallCheck {
+    CallId id;
+  };
+  using What = std::variant<ModuleAlarm, CallExpiry, Overdue, StallCheck>;
   struct Alarm {
     Micros at = 0;
     std::uint64_t order = 0;  // equal times ring in the order they were set
-    std::variant<ModuleAlarm, CallExpiry, Overdue> what;
+    What what;
     bool operator>(const Alarm& o) const { return at != o.at ? at > o.at : order > o.order; }
   };
 
@@ -161,7 +167,7 @@
   void carry_out(const Observe& a);
 
   void ring(const Alarm& alarm);
-  void wake(Micros at, std::variant<ModuleAlarm, CallExpiry, Overdue> what);
+  void wake(Micros at, What what);
   Rpc* find(RpcId id);
   Call* find_out(CallId id, Rpc*& rpc);
   Subchannels& subchannels(const Rpc& rpc) const;
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -14,6 +14,7 @@
   add("resumed", resumed);
   add("served", served);
   add("broken", broken);
+  add("stalled", stalled);
   add("unavailable", unavailable);
   add("overloaded", overloaded);
   add("failed", failed);
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -58,9 +58,10 @@
   // Events of the answer, in order and whole. False: the client reads too slowly; nothing more is to come
   // until the front says Broker::writable.
   virtual bool pass(std::string_view events) = 0;
-  virtual void finish() = 0;                         // the answer is whole
-  virtual void break_off() = 0;                      // the answer broke after its first event
-  virtual void unavailable(Micros retry_after) = 0;  // refused: trying again is harmless; 0: no advice
+  virtual void finish() = 0;     // the answer is whole
+  virtual void break_off() = 0;  // the answer broke after its first event
+  // Refused: trying again is harmless, after retry_after (0: no advice). late: its deadline has come.
+  virtual void unavailable(Micros retry_after, bool late) = 0;
   virtual void fail(Failure why) = 0;
 };
 
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -21,15 +21,14 @@
 
 namespace {
 
-constexpr std::size_t kLargestBody = 256u << 10;
 constexpr std::size_t kLargestHead = 16u << 10;
 constexpr std::size_t kRead = 16384;
 // What may wait for a slow client before its replica is no longer read.
 constexpr std::size_t kBacklog = 64u << 10;
 constexpr Micros kIdleClient = 90 * core::kSecond;
 constexpr Micros kHalfRequest = 15 * core::kSecond;  // a request that is still not whole after this long
+constexpr Micros kLinger = 2 * core::kSecond;        // a refused client that still sends
 constexpr Micros kStuckWrite = 30 * core::kSecond;   // a client that reads nothing for this long
-constexpr std::string_view kPath = "/v1/chat/completions";
 
 const char* reason(unsigned status) {
   switch (status) {
@@ -72,6 +71,7 @@
                               if (self->owner_ == nullptr) return;
                               if (ec) return self->drop();
                               self->buffer_.commit(n);
+                              if (self->refused_) self->buffer_.consume(self->buffer_.size());
                               if (self->rpc_ == 0) self->parse();
                               self->read();  // also while an answer runs: a client that goes away is noticed
                             });
@@ -101,7 +101,7 @@
     close_after_ = true;
     answered();
   }
-  void unavailable(Micros retry_after) override {
+  void unavailable(Micros retry_after, bool) override {
     std::array<char, 48> text{};
     if (retry_after > 0) {
       std::snprintf(text.data(), text.size(), "Retry-After: %.3f\r\n",
@@ -121,6 +121,7 @@
   bool expired(Micros now) const {
     if (writing_ || !out_.empty()) return now - since_ > kStuckWrite;
     if (rpc_ != 0) return false;
+    if (lingering_) return now - since_ > kLinger;
     return now - since_ > (idle() ? kIdleClient : kHalfRequest);
   }
   // Ends the connection; a client whose RPC is still open has gone away.
@@ -156,7 +157,8 @@
       if (ec == beast_http::error::need_more) {
         if (!parser_->is_done()) return;
       } else if (ec) {
-        close_after_ = true;
+        close_after_ = refused_ = true;
+        buffer_.consume(buffer_.size());
         const bool large = ec == beast_http::error::body_limit;
         respond(large ? 413 : 400, large ? "the body is larger than 256 KiB\n" : "not an HTTP request\n");
         return write();
@@ -170,14 +172,13 @@
   }
 
   void handle(Request&& request) {
-    const auto target = request.target();
-    const std::string_view path = std::string_view(target.data(), target.size()).substr(0, target.find('?'));
+    const std::string_view path = path_of(request);
     if (path == "/ready") {
       const bool ready = owner_->broker_.ready();
       respond(ready ? 200 : 503, std::string(core::to_string(owner_->broker_.phase())) + "\n");
       return write();
     }
-    if (path != kPath) {
+    if (path != kCompletionsPath) {
       respond(404, "there is nothing here\n");
       return write();
     }
@@ -186,7 +187,7 @@
       return write();
     }
     auto rpc = std::make_shared<core::RpcRequest>();
-    const std::string wrong = to_rpc(std::move(request), owner_->set_, *rpc);
+    const std::string wrong = to_rpc(std::move(request), owner_->set_.labels, *rpc);
     if (!wrong.empty()) {
       respond(400, wrong + "\n");
       return write();
@@ -238,6 +239,16 @@
   // All is written: the connection closes, or goes on with the next request, if one has come already.
   void settle() {
     if (rpc_ != 0) return;
+    if (refused_ && !lingering_) {
+      // The client may still be sending what was refused. Closing now would answer those bytes with a reset,
+      // which can take the answer away before the client has read it: say that no more comes, and read on.
+      lingering_ = true;
+      since_ = owner_->clock_.now();
+      error_code ignored;
+      socket_.shutdown(tcp::socket::shutdown_send, ignored);
+      return read();
+    }
+    if (lingering_) return;
     if (close_after_) return drop();
     parse();
     read();
@@ -251,7 +262,7 @@
   core::RpcId rpc_ = 0;  // the RPC that waits for its answer; 0: none
   Micros since_ = 0;     // the last step forward: a request's first byte, or a write
   bool reading_ = false, writing_ = false, began_ = false, held_up_ = false, half_ = false,
-       close_after_ = false;
+       close_after_ = false, refused_ = false, lingering_ = false;
 };
 
 HttpFront::HttpFront(asio::io_context& io, core::Broker& broker, core::Clock& clock, FrontSettings settings)
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -6,18 +6,16 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <vector>
 
 #include "config/config.h"
+#include "config/labels.h"
 #include "core/broker.h"
 #include "core/ports.h"
 
 namespace flintglade::http {
 
 struct FrontSettings {
-  std::vector<std::string> classes;
-  std::vector<std::string> tenants;
-  std::vector<core::Micros> patience;  // by class, for clients that do not say how long they wait
+  config::Labels labels;
   std::size_t most_connections = 448;
 };
 
--- a/src/http/request.h
+++ b/src/http/request.h
@@ -5,17 +5,19 @@
 #include <boost/beast/http/string_body.hpp>
 #include <string>
 
+#include "config/labels.h"
 #include "core/ports.h"
-#include "http/front.h"
 
 namespace flintglade::http {
 
 using Request = boost::beast::http::request<boost::beast::http::string_body>;
 
-// An opaque name to a number: hex where it is hex, else a hash; 0 only for an empty one.
-std::uint64_t name_to_key(std::string_view name);
+inline constexpr std::string_view kCompletionsPath = "/v1/chat/completions";
+inline constexpr std::size_t kLargestBody = 256u << 10;
+
+std::string_view path_of(const Request& request);  // without the query
 
 // Empty and the RPC, or what is wrong with the request.
-std::string to_rpc(Request&& request, const FrontSettings& settings, core::RpcRequest& out);
+std::string to_rpc(Request&& request, const config::Labels& labels, core::RpcRequest& out);
 
 }  // namespace flintglade::http
--- a/src/http/subchannels.cpp
+++ b/src/http/subchannels.cpp
@@ -108,7 +108,6 @@
 
   void pause(bool paused) {
     paused_ = paused;
-    last_event_ = owner_->clock_.now();
     if (!paused) read();
   }
 
@@ -123,12 +122,11 @@
   }
 
   Micros idle_since() const { return idle_since_; }
-  core::ReplicaId replica() const { return replica_; }
-  bool stalled(Micros now) const { return began_ && !paused_ && now - last_event_ > owner_->set_.stall; }
+
+ private:
   // How a call ends whose connection broke: only what was not written whole is proved never to have run.
   void broke() { end(written_ ? Outcome::reset : Outcome::connect_failed); }
 
- private:
   void take(error_code ec) {
     if (!busy_) return retire();  // idle: it has closed, or says what nobody asked for
     while (buffer_.size() > 0 && !parser_->is_done()) {
@@ -150,7 +148,6 @@
   void pass_on(std::string events) {
     if (events.empty()) return;
     began_ = true;
-    last_event_ = owner_->clock_.now();
     owner_->broker_.call_events(id_, std::move(events));
   }
 
@@ -198,7 +195,7 @@
   core::CallId id_;
   std::shared_ptr<const core::RpcRequest> rpc_;
   std::string head_;
-  Micros expires_ = 0, idle_since_ = 0, last_event_ = 0;
+  Micros expires_ = 0, idle_since_ = 0;
   bool busy_ = false, connected_ = false, written_ = false, reading_ = false, paused_ = false, began_ = false;
   boost::beast::flat_buffer buffer_;
   std::optional<beast_http::response_parser<beast_http::string_body>> parser_;
@@ -291,13 +288,6 @@
       sub.idle.pop_front();
     }
   }
-  // A machine that vanished in the middle of an answer says nothing, and TCP does not notice. The client is
-  // better off with a broken stream, whose rest it can ask for, than with a silent one.
-  std::vector<std::shared_ptr<Connection>> stalled;
-  for (const auto& [id, connection] : calls_) {
-    if (connection->stalled(now)) stalled.push_back(connection);
-  }
-  for (const auto& connection : stalled) connection->broke();
   sweeper_.expires_after(kSweep);
   sweeper_.async_wait([this](error_code ec) {
     if (!ec) sweep();
--- a/src/http/subchannels.h
+++ b/src/http/subchannels.h
@@ -16,7 +16,6 @@
 struct SubchannelSettings {
   core::Micros dial_timeout = 150 * core::kMilli;
   core::Micros conn_idle = 5 * core::kSecond;  // the replica closes a connection idle for this long
-  core::Micros stall = 2 * core::kSecond;      // a stream without an event for this long has broken
   std::size_t most_connections = 448;
 };
 
--- /dev/null
+++ b/src/kserve/front.cpp
@@ -0,0 +1,362 @@
+#include "kserve/front.h"
+
+#include <grpcpp/generic/async_generic_service.h>
+#include <grpcpp/resource_quota.h>
+#include <grpcpp/server_builder.h>
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+#include <optional>
+#include <thread>
+#include <utility>
+
+#include "kserve/names.h"
+#include "kserve_v2.grpc.pb.h"
+
+namespace flintglade::kserve {
+
+using core::Micros;
+using grpc::Status;
+using grpc::StatusCode;
+
+namespace {
+constexpr std::size_t kBacklog = 64u << 10;          // bytes that may wait for a slow client
+constexpr std::size_t kTransportMemory = 32u << 20;  // of gRPC's own buffers, over all connections
+constexpr int kMostStreams = 256;                    // at once on one connection
+constexpr char kVersion[] = "0.1.0";
+}  // namespace
+
+// One call of ModelInfer or ModelStreamInfer. A stream may carry many requests; they are served one by one,
+// in order. Lives on the loop, but for what the reactor is told, which is posted there.
+class GrpcFront::Call final : public grpc::ServerGenericBidiReactor,
+                              public core::Channel,
+                              public std::enable_shared_from_this<Call> {
+ public:
+  Call(GrpcFront& owner, grpc::GenericCallbackServerContext* context)
+      : owner_(owner), io_(owner.io_), context_(context), streams_(context->method() == kStreamInfer) {}
+
+  void start() {
+    self_ = shared_from_this();  // until gRPC is done with it
+    if (!streams_ && context_->method() != kInfer) {
+      Finish(Status(StatusCode::UNIMPLEMENTED, "there is no such method"));
+      return;
+    }
+    post([this] {
+      owner_.calls_.insert(self_);
+      if (owner_.closing_) return end(Status(StatusCode::UNAVAILABLE, "going down"));
+      read();
+    });
+  }
+
+  // ---- on gRPC's threads ----
+  void OnReadDone(bool ok) override {
+    post([this, ok] { got(ok); });
+  }
+  void OnWriteDone(bool ok) override {
+    post([this, ok] { wrote(ok); });
+  }
+  void OnCancel() override {
+    post([this] {
+      cancelled_ = true;
+      if (rpc_ != 0) owner_.broker_.client_gone(std::exchange(rpc_, 0));
+      end(Status::CANCELLED);
+      settle();
+    });
+  }
+  void OnDone() override {
+    post([this] {
+      owner_.calls_.erase(self_);
+      self_.reset();
+    });
+  }
+
+  // ---- core::Channel ----
+  bool pass(std::string_view message) override {
+    backlog_ += message.size();
+    out_.push_back(to_buffer(message));
+    write();
+    held_up_ = backlog_ > kBacklog;
+    return !held_up_;
+  }
+  void finish() override {
+    rpc_ = 0;
+    held_up_ = false;
+    if (!streams_) return end(Status::OK);
+    if (waiting_) return take_request();
+    half_closed_ ? end(Status::OK) : read();
+  }
+  void break_off() override {
+    rpc_ = 0;
+    end(Status(StatusCode::INTERNAL, "the answer broke off"));
+  }
+  void unavailable(Micros retry_after, bool late) override {
+    rpc_ = 0;
+    if (late) return end(Status(StatusCode::DEADLINE_EXCEEDED, "no answer in time"));
+    if (!finished_ && !cancelled_) {
+      context_->AddTrailingMetadata(kPushback, std::to_string(retry_after / core::kMilli));
+    }
+    end(Status(StatusCode::UNAVAILABLE, "refused: trying again is harmless"));
+  }
+  void fail(core::Failure why) override {
+    rpc_ = 0;
+    end(why == core::Failure::deadline ? Status(StatusCode::DEADLINE_EXCEEDED, "no answer in time")
+                                       : Status(StatusCode::INTERNAL, "the request failed"));
+  }
+
+  bool idle() const { return rpc_ == 0; }
+  // The one end of the call, once all that was passed on is written.
+  void end(Status status) {
+    if (ending_) return;
+    ending_ = true;
+    status_ = std::move(status);
+    settle();
+  }
+
+ private:
+  template <typename F>
+  void post(F f) {
+    boost::asio::post(io_, [self = self_, f = std::move(f)] { f(); });
+  }
+
+  void read() {
+    if (ending_ || reading_) return;
+    reading_ = true;
+    StartRead(&in_);
+  }
+
+  void got(bool ok) {
+    reading_ = false;
+    if (ending_) return;
+    if (!ok) {  // the client has said all
+      half_closed_ = true;
+      if (rpc_ == 0) end(served_ ? Status::OK : Status(StatusCode::INVALID_ARGUMENT, "no request came"));
+      return;
+    }
+    waiting_ = to_string(in_);
+    in_.Clear();
+    // A request that comes while another is served waits for it, and nothing is read behind it.
+    if (rpc_ == 0) take_request();
+  }
+
+  void take_request() {
+    served_ = true;
+    inference::ModelInferRequest request;
+    auto rpc = std::make_shared<core::RpcRequest>();
+    rpc->body = std::move(*waiting_);
+    waiting_.reset();
+    if (!request.ParseFromString(rpc->body)) {
+      return end(Status(StatusCode::INVALID_ARGUMENT, "not a ModelInferRequest"));
+    }
+    if (owner_.file_.find(request.model_name(), request.model_version()) == nullptr) {
+      return end(Status(StatusCode::NOT_FOUND, "the model is unknown"));
+    }
+    const std::string wrong = label(request, *rpc);
+    if (!wrong.empty()) return end(Status(StatusCode::INVALID_ARGUMENT, wrong));
+    rpc_ = owner_.broker_.arrived(std::move(rpc), shared_from_this());
+    if (streams_) read();  // the next request, or the word that none comes
+  }
+
+  std::string label(const inference::ModelInferRequest& request, core::RpcRequest& rpc) {
+    const auto& said = context_->client_metadata();
+    config::RequestLabels labels{
+        find_metadata(said, kClass),  find_metadata(said, kTenant),       find_metadata(said, kSession),
+        find_metadata(said, kPrefix), find_metadata(said, kPromptTokens), find_metadata(said, kPrefixTokens),
+        find_metadata(said, kMaxOut), find_metadata(said, kExpires),      find_metadata(said, kSecondTry)};
+    const std::string wrong = config::apply(labels, owner_.labels_, rpc);
+    if (!wrong.empty()) return wrong;
+    rpc.wire = core::Wire::kserve;
+    rpc.target = context_->method();
+    rpc.trace_id = find_metadata(said, kTrace);
+    if (rpc.trace_id.empty()) rpc.trace_id = request.id();
+    if (rpc.trace_id.empty()) rpc.trace_id = owner_.name_ + "-" + std::to_string(++owner_.traces_);
+    // gRPC's own deadline is for the whole call; no first event is wanted after it either.
+    const auto deadline = context_->deadline();
+    if (deadline != std::chrono::system_clock::time_point::max()) {
+      const auto left =
+          std::chrono::duration_cast<std::chrono::microseconds>(deadline - std::chrono::system_clock::now());
+      rpc.patience = std::clamp<Micros>(left.count(), 0, rpc.patience);
+    }
+    return "";
+  }
+
+  void write() {
+    if (writing_ || out_.empty() || finished_ || cancelled_) return;
+    writing_ = true;
+    StartWrite(&out_.front());
+  }
+
+  void wrote(bool ok) {
+    writing_ = false;
+    if (!out_.empty()) {
+      backlog_ -= std::min(backlog_, out_.front().Length());
+      out_.pop_front();
+    }
+    if (!ok) out_.clear();  // the client is gone; OnCancel says so
+    write();
+    if (held_up_ && out_.empty()) {
+      held_up_ = false;
+      if (rpc_ != 0) owner_.broker_.writable(rpc_);
+    }
+    settle();
+  }
+
+  void settle() {
+    if (!ending_ || finished_ || writing_ || (!out_.empty() && !cancelled_)) return;
+    finished_ = true;
+    Finish(status_);
+  }
+
+  GrpcFront& owner_;
+  boost::asio::io_context& io_;
+  grpc::GenericCallbackServerContext* context_;
+  std::shared_ptr<Call> self_;
+  grpc::ByteBuffer in_;
+  std::optional<std::string> waiting_;  // a request that is read and not yet taken
+  std::deque<grpc::ByteBuffer> out_;
+  std::size_t backlog_ = 0;
+  core::RpcId rpc_ = 0;  // the RPC that waits for its answer; 0: none
+  Status status_;
+  const bool streams_;
+  bool reading_ = false, writing_ = false, half_closed_ = false, served_ = false, held_up_ = false,
+       ending_ = false, finished_ = false, cancelled_ = false;
+};
+
+class GrpcFront::Infer final : public grpc::CallbackGenericService {
+ public:
+  explicit Infer(GrpcFront& owner) : owner_(owner) {}
+  grpc::ServerGenericBidiReactor* CreateReactor(grpc::GenericCallbackServerContext* context) override {
+    const auto call = std::make_shared<Call>(owner_, context);
+    call->start();
+    return call.get();
+  }
+
+ private:
+  GrpcFront& owner_;
+};
+
+// The calls that say how the router is. Their answers are made on the loop, where the phase is known.
+class GrpcFront::Standard final
+    : public inference::GRPCInferenceService::WithCallbackMethod_ServerLive<
+          inference::GRPCInferenceService::WithCallbackMethod_ServerReady<
+              inference::GRPCInferenceService::WithCallbackMethod_ModelReady<
+                  inference::GRPCInferenceService::WithCallbackMethod_ServerMetadata<
+                      inference::GRPCInferenceService::WithCallbackMethod_ModelMetadata<
+                          inference::GRPCInferenceService::WithGenericMethod_ModelInfer<
+                              inference::GRPCInferenceService::WithGenericMethod_ModelStreamInfer<
+                                  inference::GRPCInferenceService::Service>>>>>>> {
+ public:
+  explicit Standard(GrpcFront& owner) : owner_(owner) {}
+
+  grpc::ServerUnaryReactor* ServerLive(grpc::CallbackServerContext* context,
+                                       const inference::ServerLiveRequest*,
+                                       inference::ServerLiveResponse* response) override {
+    response->set_live(true);
+    return answer(context, [] { return Status::OK; });
+  }
+  grpc::ServerUnaryReactor* ServerReady(grpc::CallbackServerContext* context,
+                                        const inference::ServerReadyRequest*,
+                                        inference::ServerReadyResponse* response) override {
+    return answer(context, [this, response] {
+      response->set_ready(owner_.broker_.ready());
+      return Status::OK;
+    });
+  }
+  grpc::ServerUnaryReactor* ModelReady(grpc::CallbackServerContext* context,
+                                       const inference::ModelReadyRequest* request,
+                                       inference::ModelReadyResponse* response) override {
+    return answer(context, [this, request, response] {
+      if (owner_.file_.find(request->name(), request->version()) == nullptr) return unknown();
+      response->set_ready(owner_.broker_.ready());
+      return Status::OK;
+    });
+  }
+  grpc::ServerUnaryReactor* ServerMetadata(grpc::CallbackServerContext* context,
+                                           const inference::ServerMetadataRequest*,
+                                           inference::ServerMetadataResponse* response) override {
+    response->set_name("flintglade");
+    response->set_version(kVersion);
+    response->add_extensions("model_stream_infer");
+    return answer(context, [] { return Status::OK; });
+  }
+  grpc::ServerUnaryReactor* ModelMetadata(grpc::CallbackServerContext* context,
+                                          const inference::ModelMetadataRequest* request,
+                                          inference::ModelMetadataResponse* response) override {
+    return answer(context, [this, request, response] {
+      const Model* model = owner_.file_.find(request->name(), request->version());
+      if (model == nullptr) return unknown();
+      response->set_name(model->name);
+      response->set_platform(model->platform);
+      for (const std::string& v : model->versions) response->add_versions(v);
+      for (const Tensor& t : model->inputs) describe(t, *response->add_inputs());
+      for (const Tensor& t : model->outputs) describe(t, *response->add_outputs());
+      return Status::OK;
+    });
+  }
+
+ private:
+  static Status unknown() { return {StatusCode::NOT_FOUND, "the model is unknown"}; }
+  static void describe(const Tensor& t, inference::ModelMetadataResponse::TensorMetadata& out) {
+    out.set_name(t.name);
+    out.set_datatype(t.datatype);
+    for (const std::int64_t n : t.shape) out.add_shape(n);
+  }
+  template <typename F>
+  grpc::ServerUnaryReactor* answer(grpc::CallbackServerContext* context, F make) {
+    grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+    boost::asio::post(owner_.io_, [reactor, make = std::move(make)] { reactor->Finish(make()); });
+    return reactor;
+  }
+  GrpcFront& owner_;
+};
+
+GrpcFront::GrpcFront(boost::asio::io_context& io, core::Broker& broker, OperatorFile file,
+                     config::Labels labels, std::string name)
+    : io_(io), broker_(broker), file_(std::move(file)), labels_(std::move(labels)), name_(std::move(name)) {}
+
+GrpcFront::~GrpcFront() { stop(); }
+
+std::string GrpcFront::listen() {
+  standard_ = std::make_unique<Standard>(*this);
+  infer_ = std::make_unique<Infer>(*this);
+  grpc::ServerBuilder builder;
+  const bool v6 = file_.listen.host.find(':') != std::string::npos;
+  const std::string host = v6 ? "[" + file_.listen.host + "]" : file_.listen.host;
+  const std::string at = host + ":" + std::to_string(file_.listen.port);
+  builder.AddListeningPort(at, grpc::InsecureServerCredentials(), &port_);
+  builder.SetMaxReceiveMessageSize(kLargestMessage);
+  builder.AddChannelArgument(GRPC_ARG_MAX_CONCURRENT_STREAMS, kMostStreams);
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  grpc::ResourceQuota quota("flintglade-kserve");
+  quota.Resize(kTransportMemory);
+  builder.SetResourceQuota(quota);
+  builder.RegisterService(standard_.get());
+  builder.RegisterCallbackGenericService(infer_.get());
+  server_ = builder.BuildAndStart();
+  if (!server_ || port_ == 0) return "kserve: cannot listen on " + at;
+  return "";
+}
+
+void GrpcFront::close_idle() {
+  closing_ = true;
+  for (const auto& call : calls_) {
+    if (call->idle()) call->end(Status(StatusCode::UNAVAILABLE, "going down"));
+  }
+}
+
+void GrpcFront::stop() {
+  if (!server_) return;
+  close_idle();
+  // Shutdown waits for calls whose ends are posted to the loop, so it waits beside the loop.
+  std::atomic<bool> down = false;
+  std::thread waiter([this, &down] {
+    server_->Shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds(500));
+    server_->Wait();
+    down = true;
+  });
+  while (!down || !calls_.empty()) io_.run_one_for(std::chrono::milliseconds(10));
+  waiter.join();
+  server_.reset();
+}
+
+}  // namespace flintglade::kserve
--- /dev/null
+++ b/src/kserve/front.h
@@ -0,0 +1,50 @@
+// The KServe v2 front over gRPC: the standard calls, ModelInfer, and ModelStreamInfer. gRPC's threads only
+// post to the loop; the RPCs live there.
+#pragma once
+
+#include <grpcpp/server.h>
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "config/labels.h"
+#include "core/broker.h"
+#include "kserve/operator_file.h"
+
+namespace flintglade::kserve {
+
+class GrpcFront {
+ public:
+  GrpcFront(boost::asio::io_context& io, core::Broker& broker, OperatorFile file, config::Labels labels,
+            std::string name);
+  ~GrpcFront();
+  std::string listen();  // empty, or one line that says what is wrong
+  int port() const { return port_; }
+  // Ends streams on which no RPC is open; none will come any more.
+  void close_idle();
+  // Runs the loop until gRPC has let go of every call, at most for a second.
+  void stop();
+
+ private:
+  class Call;
+  class Infer;
+  class Standard;
+
+  boost::asio::io_context& io_;
+  core::Broker& broker_;
+  OperatorFile file_;
+  config::Labels labels_;
+  std::string name_;
+  std::set<std::shared_ptr<Call>> calls_;
+  std::unique_ptr<Standard> standard_;
+  std::unique_ptr<Infer> infer_;
+  std::unique_ptr<grpc::Server> server_;
+  int port_ = 0;
+  bool closing_ = false;
+  std::uint64_t traces_ = 0;
+};
+
+}  // namespace flintglade::kserve
--- /dev/null
+++ b/src/kserve/subchannels.cpp
@@ -0,0 +1,210 @@
+#include "kserve/subchannels.h"
+
+#include <grpcpp/create_channel.h>
+#include <grpcpp/generic/generic_stub.h>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+#include "config/config.h"
+#include "kserve/names.h"
+#include "kserve_v2.pb.h"
+
+namespace flintglade::kserve {
+
+using core::Micros;
+using pipitcleat::Outcome;
+
+namespace {
+
+// gRPC may not send anything again by itself (each arrival at a replica is an attempt), nor wait long before
+// it connects anew, nor look for a proxy.
+std::shared_ptr<grpc::Channel> open_channel(const std::string& target) {
+  grpc::ChannelArguments args;
+  args.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  args.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
+  args.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 100);
+  args.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1000);
+  args.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  args.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  args.SetMaxReceiveMessageSize(kLargestMessage);
+  return grpc::CreateCustomChannel(target, grpc::InsecureChannelCredentials(), args);
+}
+
+}  // namespace
+
+// One call attempt. Both methods are run as a stream of messages, which is what they are on the wire. What
+// the reactor is told on gRPC's threads is posted to the loop; every member but the buffers lives there.
+class GrpcSubchannels::Call final : public grpc::ClientBidiReactor<grpc::ByteBuffer, grpc::ByteBuffer>,
+                                    public std::enable_shared_from_this<Call> {
+ public:
+  Call(GrpcSubchannels& owner, core::CallId id, std::shared_ptr<const core::RpcRequest> rpc, Micros patience)
+      : owner_(owner), io_(owner.io_), id_(id), rpc_(std::move(rpc)), dial_(owner.io_) {
+    streams_ = rpc_->target == kStreamInfer;
+    context_.AddMetadata(kTrace, rpc_->trace_id);
+    context_.AddMetadata(kExpires, std::to_string(std::max<Micros>(1, patience / core::kMilli)));
+    ++owner_.unfinished_;
+  }
+
+  void start(const std::shared_ptr<grpc::Channel>& channel, Micros dial) {
+    self_ = shared_from_this();  // until gRPC is done with it
+    stub_ = std::make_unique<grpc::TemplatedGenericStub<grpc::ByteBuffer, grpc::ByteBuffer>>(channel);
+    stub_->PrepareBidiStreamingCall(&context_, rpc_->target, {}, this);
+    AddHold();  // reads are started from the loop
+    out_ = to_buffer(rpc_->body);
+    StartWriteLast(&out_, grpc::WriteOptions());
+    reading_ = true;
+    StartRead(&in_);
+    StartCall();
+    // A connection that does not come up in time is given up; it is also never to carry a call whose replica
+    // has since drained, which gRPC, once connected, would not ask about.
+    dial_.expires_after(std::chrono::microseconds(dial));
+    dial_.async_wait([self = self_](boost::system::error_code ec) {
+      if (!ec && !self->written_ && !self->dropped_) self->context_.TryCancel();
+    });
+  }
+
+  void cancel() {
+    dropped_ = true;
+    dial_.cancel();
+    context_.TryCancel();
+    if (!reading_) let_go();
+  }
+
+  void pause(bool paused) {
+    paused_ = paused;
+    read_on();
+  }
+
+  // ---- on gRPC's threads ----
+  void OnWriteDone(bool ok) override {
+    post([this, ok] { written_ = ok; });
+  }
+  void OnReadDone(bool ok) override {
+    post([this, ok] { got(ok); });
+  }
+  void OnDone(const grpc::Status& status) override {
+    post([this, status] { done(status); });
+  }
+
+ private:
+  template <typename F>
+  void post(F f) {
+    boost::asio::post(io_, [self = shared_from_this(), f = std::move(f)] { f(); });
+  }
+
+  void got(bool ok) {
+    reading_ = false;
+    if (!ok || dropped_) return let_go();
+    std::string bytes = to_string(in_);
+    if (!began_ && streams_) {
+      inference::ModelStreamInferResponse first;
+      // An error instead of a first answer is no answer: another replica may still give one.
+      if (!first.ParseFromString(bytes) || (!first.error_message().empty() && !first.has_infer_response())) {
+        context_.TryCancel();
+        return let_go();
+      }
+    }
+    began_ = true;
+    owner_.broker_.call_events(id_, std::move(bytes));
+    read_on();
+  }
+
+  void read_on() {
+    if (reading_ || paused_ || dropped_ || let_go_) return;
+    reading_ = true;
+    StartRead(&in_);
+  }
+
+  void let_go() {
+    if (std::exchange(let_go_, true)) return;
+    RemoveHold();
+  }
+
+  void done(const grpc::Status& status) {
+    dial_.cancel();
+    --owner_.unfinished_;
+    const auto keep = std::exchange(self_, nullptr);
+    if (dropped_) return;
+    std::uint32_t kept = 0;
+    const auto& trailing = context_.GetServerTrailingMetadata();
+    const std::string_view cached = find_metadata(trailing, kCachedTokens);
+    std::from_chars(cached.data(), cached.data() + cached.size(), kept);
+    Outcome outcome = Outcome::error;
+    if (status.ok() && began_) {
+      outcome = Outcome::ok;
+    } else if (!began_ && find_metadata(trailing, kNeverRan) == "1") {
+      outcome = Outcome::full;
+    } else if (!written_) {
+      outcome = Outcome::connect_failed;  // the request was never handed to a connection
+    } else if (status.error_code() == grpc::StatusCode::UNAVAILABLE) {
+      outcome = Outcome::reset;
+    }
+    owner_.calls_.erase(id_);
+    owner_.broker_.call_ended(id_, outcome, kept);
+  }
+
+  GrpcSubchannels& owner_;
+  boost::asio::io_context& io_;
+  core::CallId id_;
+  std::shared_ptr<const core::RpcRequest> rpc_;
+  boost::asio::steady_timer dial_;
+  grpc::ClientContext context_;
+  std::unique_ptr<grpc::TemplatedGenericStub<grpc::ByteBuffer, grpc::ByteBuffer>> stub_;
+  grpc::ByteBuffer out_, in_;
+  std::shared_ptr<Call> self_;
+  bool streams_ = false, reading_ = false, paused_ = false, written_ = false, began_ = false,
+       dropped_ = false, let_go_ = false;
+};
+
+GrpcSubchannels::GrpcSubchannels(boost::asio::io_context& io, core::Broker& broker, core::Clock& clock,
+                                 SubchannelSettings settings)
+    : io_(io), broker_(broker), clock_(clock), set_(settings) {}
+GrpcSubchannels::~GrpcSubchannels() = default;
+
+void GrpcSubchannels::update(const core::Endpoint& endpoint, Micros no_new_after) {
+  Subchannel& sub = subs_[endpoint.replica.id];
+  if (!endpoint.address.empty() && sub.address != endpoint.address) {
+    sub.address = endpoint.address;
+    sub.channel.reset();
+  }
+  sub.no_new_after = no_new_after;
+  if (endpoint.replica.health == pipitcleat::Health::gone) sub.channel.reset();  // calls under way keep it
+}
+
+void GrpcSubchannels::call(core::CallId id, core::ReplicaId replica,
+                           std::shared_ptr<const core::RpcRequest> rpc, Micros patience) {
+  const auto it = subs_.find(replica);
+  const Micros now = clock_.now();
+  config::HostPort at;
+  if (it == subs_.end() || now >= it->second.no_new_after ||
+      !config::parse_host_port(it->second.address, at)) {
+    return broker_.call_ended(id, Outcome::connect_failed);
+  }
+  Subchannel& sub = it->second;
+  if (!sub.channel) {
+    const std::string port = std::to_string(set_.replica_port != 0 ? set_.replica_port : at.port);
+    const bool v6 = at.host.find(':') != std::string::npos;
+    sub.channel = open_channel(v6 ? "ipv6:[" + at.host + "]:" + port : "ipv4:" + at.host + ":" + port);
+  }
+  const auto call = std::make_shared<Call>(*this, id, std::move(rpc), patience);
+  calls_[id] = call;
+  call->start(sub.channel, std::min(set_.dial_timeout, sub.no_new_after - now));
+}
+
+void GrpcSubchannels::cancel(core::CallId id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  const auto call = it->second;
+  calls_.erase(it);
+  call->cancel();
+}
+
+void GrpcSubchannels::pause(core::CallId id, bool paused) {
+  const auto it = calls_.find(id);
+  if (it != calls_.end()) it->second->pause(paused);
+}
+
+}  // namespace flintglade::kserve
--- /dev/null
+++ b/src/kserve/subchannels.h
@@ -0,0 +1,52 @@
+// The model replicas behind KServe v2 over gRPC. gRPC's threads only post to the loop; all else happens
+// there.
+#pragma once
+
+#include <grpcpp/channel.h>
+
+#include <boost/asio.hpp>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+#include "core/broker.h"
+#include "core/ports.h"
+
+namespace flintglade::kserve {
+
+struct SubchannelSettings {
+  core::Micros dial_timeout = 150 * core::kMilli;
+  std::uint16_t replica_port = 0;  // 0: replicas speak gRPC at the very endpoint that discovery gives
+};
+
+class GrpcSubchannels final : public core::Subchannels {
+ public:
+  GrpcSubchannels(boost::asio::io_context& io, core::Broker& broker, core::Clock& clock,
+                  SubchannelSettings settings);
+  ~GrpcSubchannels() override;
+
+  void update(const core::Endpoint& endpoint, core::Micros no_new_after) override;
+  void call(core::CallId id, core::ReplicaId replica, std::shared_ptr<const core::RpcRequest> rpc,
+            core::Micros patience) override;
+  void cancel(core::CallId id) override;
+  void pause(core::CallId id, bool paused) override;
+  std::size_t unfinished() const { return unfinished_; }  // calls that gRPC has not let go of yet
+
+ private:
+  class Call;
+  struct Subchannel {
+    std::string address;
+    core::Micros no_new_after = core::kNever;
+    std::shared_ptr<grpc::Channel> channel;
+  };
+
+  boost::asio::io_context& io_;
+  core::Broker& broker_;
+  core::Clock& clock_;
+  SubchannelSettings set_;
+  std::unordered_map<core::ReplicaId, Subchannel> subs_;
+  std::map<core::CallId, std::shared_ptr<Call>> calls_;
+  std::size_t unfinished_ = 0;
+};
+
+}  // namespace flintglade::kserve
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,27 +1,33 @@
 // The real router: wires the packages together and runs the loop. It decides nothing.
-#include <unistd.h>
-
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
-#include <ctime>
+#include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 
 #include "config/config.h"
+#include "config/labels.h"
 #include "core/broker.h"
 #include "discovery/watch.h"
 #include "http/front.h"
 #include "http/subchannels.h"
+#include "kserve/front.h"
+#include "kserve/operator_file.h"
+#include "kserve/subchannels.h"
+#include "pcap/replay.h"
 
 namespace {
 
 using namespace flintglade;
 using core::Micros;
 
-// Descriptors outside the pools: the standard streams, the loop's own, listener and discovery, and some
-// spare.
-constexpr std::size_t kSpareDescriptors = 64;
+// Descriptors outside the HTTP pools: the standard streams, the loop's own, listener and discovery, and some
+// spare; and what gRPC is likely to want where its front is on.
+constexpr std::size_t kSpareDescriptors = 64, kGrpcDescriptors = 192;
 constexpr int kMostHandlersATurn = 512;
 
 class MonotonicClock final : public core::Clock {
@@ -39,19 +45,37 @@
   return clock.now() - unix_now.count();
 }
 
+struct Options {
+  std::string kserve, replay, record;
+};
+
+std::string parse_options(int argc, char** argv, Options& out) {
+  for (int i = 1; i < argc; i += 2) {
+    const std::string_view name = argv[i];
+    std::string* value = name == "--kserve"   ? &out.kserve
+                         : name == "--replay" ? &out.replay
+                         : name == "--record" ? &out.record
+                                              : nullptr;
+    if (value == nullptr || i + 1 >= argc)
+      return "usage: flintglade [--kserve FILE] [--replay PCAP [--record PCAP]]";
+    *value = argv[i + 1];
+  }
+  return out.record.empty() || !out.replay.empty() ? "" : "--record goes with --replay";
+}
+
 int diagnose(const std::string& text) {
   std::fprintf(stderr, "flintglade: %s\n", text.c_str());
   return 1;
 }
 
-http::FrontSettings front_settings(const config::Config& config, std::size_t most_connections) {
-  http::FrontSettings out{config.classes, config.tenants, {}, most_connections};
+config::Labels labels(const config::Config& config) {
+  config::Labels out{config.classes, config.tenants, {}};
   for (const auto& c : config.module.classes) out.patience.push_back(static_cast<Micros>(c.hard_limit * 1e6));
   return out;
 }
 
 // Waits until something is ready or an alarm is due, runs what is ready, and takes the core through its turn.
-void run(boost::asio::io_context& io, core::Broker& broker, http::HttpFront& front) {
+void run(boost::asio::io_context& io, core::Broker& broker, const std::function<void()>& close_idle) {
   bool closed_idle = false;
   while (broker.phase() != core::Phase::stopped) {
     const Micros alarm = broker.next_alarm();
@@ -65,21 +89,27 @@
     broker.turn();
     if (broker.phase() == core::Phase::draining && !broker.lingering() && !closed_idle) {
       closed_idle = true;
-      front.close_idle();
+      close_idle();
     }
   }
 }
 
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  Options options;
   config::Config config;
-  std::string error = config::load(config);
+  kserve::OperatorFile operator_file;
+  std::string error = parse_options(argc, argv, options);
+  if (error.empty()) error = config::load(config);
+  if (error.empty() && !options.kserve.empty()) error = kserve::load(options.kserve, operator_file);
   if (!error.empty()) return diagnose(error);
 
   boost::asio::io_context io(1);
   MonotonicClock clock;
-  const std::size_t pool = (config.sockets - std::min(config.sockets / 2, kSpareDescriptors)) / 2;
+  const std::size_t reserved = kSpareDescriptors + (options.kserve.empty() ? 0 : kGrpcDescriptors);
+  const std::size_t pool = (config.sockets - std::min(config.sockets / 2, reserved)) / 2;
   discovery::Watch watch(io, config.discovery, {config.zones, config.kinds, unix_to_monotonic(clock)});
   core::BrokerSettings settings;
   settings.drain_grace = config.drain_grace;
@@ -88,20 +118,44 @@
   core::Broker broker(settings, config.module, config.seed, clock, watch);
   watch.tell([&broker](core::ListNews news) { broker.list_news(std::move(news)); });
 
-  http::SubchannelSettings subs;
-  subs.dial_timeout = config.dial_timeout;
-  subs.conn_idle = config.conn_idle;
-  subs.most_connections = pool;
-  http::HttpSubchannels http_subchannels(io, broker, clock, subs);
+  http::SubchannelSettings http_settings;
+  http_settings.dial_timeout = config.dial_timeout;
+  http_settings.conn_idle = config.conn_idle;
+  http_settings.most_connections = pool;
+  http::HttpSubchannels http_subchannels(io, broker, clock, http_settings);
   broker.attach(core::Wire::http, http_subchannels);
-  http::HttpFront http_front(io, broker, clock, front_settings(config, pool));
+  http::HttpFront http_front(io, broker, clock, {labels(config), pool});
   http_front.on_exhausted([&http_subchannels] { return http_subchannels.shed_idle(); });
   error = http_front.listen(config.listen);
   if (!error.empty()) return diagnose(error);
   std::fprintf(stderr, "flintglade: %s listens on %s:%u\n", config.name.c_str(), config.listen.host.c_str(),
                http_front.port());
+
+  std::unique_ptr<kserve::GrpcSubchannels> grpc_subchannels;
+  std::unique_ptr<kserve::GrpcFront> grpc_front;
+  if (!options.kserve.empty()) {
+    grpc_subchannels = std::make_unique<kserve::GrpcSubchannels>(
+        io, broker, clock, kserve::SubchannelSettings{config.dial_timeout, operator_file.replica_port});
+    broker.attach(core::Wire::kserve, *grpc_subchannels);
+    grpc_front = std::make_unique<kserve::GrpcFront>(io, broker, operator_file, labels(config), config.name);
+    error = grpc_front->listen();
+    if (!error.empty()) return diagnose(error);
+    std::fprintf(stderr, "flintglade: KServe v2 on %s:%d\n", operator_file.listen.host.c_str(),
+                 grpc_front->port());
+  }
   watch.known(config.known);
 
+  pcap::Replay replay(io, broker, clock);
+  if (!options.replay.empty()) {
+    error = replay.open(options.replay, options.record, labels(config));
+    if (!error.empty()) return diagnose(error);
+    std::fprintf(stderr,
+                 "flintglade: replays %zu requests (%zu packets, %zu skipped, %zu requests malformed)\n",
+                 replay.source().requests.size(), replay.source().packets, replay.source().skipped,
+                 replay.source().malformed);
+    replay.start([&broker] { broker.drain(); });
+  }
+
   const auto print_counters = [&broker] {
     std::fprintf(stderr, "flintglade: phase=%s %s\n", core::to_string(broker.phase()),
                  broker.counters().text().c_str());
@@ -118,9 +172,15 @@
     signals.async_wait(on_signal);
   };
   signals.async_wait(on_signal);
-  std::signal(SIGPIPE, SIG_IGN);
 
-  run(io, broker, http_front);
+  run(io, broker, [&] {
+    http_front.close_idle();
+    if (grpc_front) grpc_front->close_idle();
+  });
+  if (grpc_front) grpc_front->stop();
+  // Calls that were given up may still be gRPC's to finish; they post to the loop when it has.
+  while (grpc_subchannels && grpc_subchannels->unfinished() > 0)
+    io.run_one_for(std::chrono::milliseconds(10));
   print_counters();
   return 0;
 }
--- /dev/null
+++ b/tests/scenario.cpp
@@ -0,0 +1,239 @@
+#include "scenario.h"
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+#include "stand_ins.h"
+
+namespace flintglade::tests {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kPatience = 20s;  // how long a step waits for what must come; no verdict hangs on less
+
+// One class whose repeats are harmless, and one whose are not.
+constexpr char kSettings[] = R"({"service_type":"llm","balancers":1,"rank":0,"az":0,
+ "failure_domains":["hall"],"models":["gpu"],"registry_mode":"on_request","weight_source":"rough",
+ "classes":[{"name":"chat","aim":1.2,"hard_limit":8,"worth":5,"semantics":"safe","streamed":true},
+            {"name":"order","aim":1.2,"hard_limit":8,"worth":5,"semantics":"unsafe","streamed":true}],
+ "accounts":[{"name":"acme","quota_per_s":100,"share":1}],
+ "permissions":{"may_cancel":true,"may_duplicate":true,"most_tries":3,"retry_after":true,
+                "max_retry_after":2,"dial_timeout":0.15,"conn_idle":5},
+ "invariants":{"cold":0.1,"cold_from":1,"drain_grace":2,"grace_to_answer":0.02,"must_ask_in":10,"fall":3,
+               "fall_multiple":100}})";
+
+[[noreturn]] void wrong(const std::string& what) { throw std::runtime_error(what); }
+
+void until(const std::string& what, const std::function<bool()>& so) {
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  while (!so()) {
+    if (std::chrono::steady_clock::now() > end) wrong(what + " has not come about");
+    std::this_thread::sleep_for(5ms);
+  }
+}
+
+class Program {
+ public:
+  Program(const std::string& path, unsigned short discovery, Protocol protocol) {
+    char name[] = "/tmp/flintglade-test-XXXXXX";
+    if (mkdtemp(name) == nullptr) wrong("no folder for the configuration");
+    folder_ = name;
+    std::ofstream(folder_ + "/config.json") << "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"discovery\":"
+                                            << "\"127.0.0.1:" << discovery << "\",\"seed\":\"8c1f\","
+                                            << "\"limits\":{\"memory_mb\":192,\"sockets\":1024},"
+                                            << "\"settings\":" << kSettings << "}";
+    std::ofstream(folder_ + "/kserve.json")
+        << R"({"listen":"127.0.0.1:0","models":[{"name":"shared","versions":["1"]}]})";
+    int pipe[2];
+    if (::pipe2(pipe, O_CLOEXEC) != 0) wrong("no pipe");
+    pid_ = fork();
+    if (pid_ == 0) {
+      dup2(pipe[1], STDERR_FILENO);
+      setenv("GW_CONFIG", (folder_ + "/config.json").c_str(), 1);
+      const std::string file = folder_ + "/kserve.json";
+      if (protocol == Protocol::kserve) {
+        execl(path.c_str(), path.c_str(), "--kserve", file.c_str(), nullptr);
+      } else {
+        execl(path.c_str(), path.c_str(), nullptr);
+      }
+      _exit(127);
+    }
+    ::close(pipe[1]);
+    reader_ = std::thread([this, from = pipe[0]] {
+      char bytes[4096];
+      for (ssize_t n; (n = ::read(from, bytes, sizeof bytes)) > 0;) {
+        const std::lock_guard lock(mutex_);
+        log_.append(bytes, static_cast<std::size_t>(n));
+      }
+      ::close(from);
+    });
+  }
+  ~Program() {
+    if (pid_ > 0) {
+      kill(pid_, SIGKILL);
+      waitpid(pid_, nullptr, 0);
+    }
+    reader_.join();
+    for (const char* file : {"/config.json", "/kserve.json"}) ::unlink((folder_ + file).c_str());
+    ::rmdir(folder_.c_str());
+  }
+  std::string log() {
+    const std::lock_guard lock(mutex_);
+    return log_;
+  }
+  unsigned short port(const std::string& mark) {
+    const std::string all = log();
+    const std::size_t at = all.find(mark);
+    if (at == std::string::npos || all.find('\n', at) == std::string::npos) return 0;
+    return static_cast<unsigned short>(std::atoi(all.c_str() + at + mark.size()));
+  }
+  long counter(const std::string& name) {
+    const std::size_t before = log().size();
+    kill(pid_, SIGUSR1);
+    until("the line of counters", [&] { return log().find('\n', before) != std::string::npos; });
+    const std::string all = log();
+    const std::size_t at = all.find(" " + name + "=", before);
+    if (at == std::string::npos) wrong("there is no counter " + name);
+    return std::atol(all.c_str() + at + name.size() + 2);
+  }
+  void stop() {
+    kill(pid_, SIGTERM);
+    int status = 0;
+    until("the exit", [&] { return waitpid(pid_, &status, WNOHANG) == pid_; });
+    pid_ = 0;
+    if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) wrong("exit status " + std::to_string(status));
+  }
+
+ private:
+  std::string folder_, log_;
+  std::mutex mutex_;
+  pid_t pid_ = 0;
+  std::thread reader_;
+};
+
+class Run {
+ public:
+  Run(Protocol protocol, std::string path) : protocol_(protocol), path_(std::move(path)) {}
+  void step(const std::string& line) {
+    std::istringstream in(line);
+    std::string verb, a, b, c;
+    in >> verb;
+    if (verb == "list") return list(in);
+    if (verb == "start") return start();
+    if (verb == "stop") return program().stop();
+    in >> a;
+    if (verb == "send") return send(a, in);
+    in >> b >> c;
+    if (verb == "replica") {
+      replicas_[a] = make_replica(protocol_, b, c.empty() ? 1 : std::stoi(c));
+    } else if (verb == "discovery" && a == "down") {
+      discovery_.down();
+    } else if (verb == "close") {
+      client(a).close();
+    } else if (verb == "release") {
+      replica(a).behaviour.released = true;
+    } else if (verb == "expect") {
+      expect(client(a), b, c);
+    } else if (verb == "wait") {
+      wait(a, b, std::stol(c));
+    } else {
+      wrong("there is no such step");
+    }
+  }
+  std::string log() { return program_ ? program_->log() : ""; }
+
+ private:
+  Program& program() { return program_ ? *program_ : (wrong("not started"), *program_); }
+  Replica& replica(const std::string& name) {
+    const auto it = replicas_.find(name);
+    return it != replicas_.end() ? *it->second : (wrong("no replica " + name), *it->second);
+  }
+  Client& client(const std::string& id) {
+    const auto it = clients_.find(id);
+    return it != clients_.end() ? *it->second : (wrong("no request " + id), *it->second);
+  }
+  void list(std::istringstream& in) {
+    std::string entries;
+    for (std::string word; in >> word;) {
+      const std::string name = word.substr(0, word.find('=')), state = word.substr(word.find('=') + 1);
+      const char* as = state == "ready" ? "Ready" : state == "draining" ? "Terminating" : "Gone";
+      if (!entries.empty()) entries += ",";
+      entries += "{\"uid\":\"s-" + name +
+                 "\",\"endpoint\":\"127.0.0.1:" + std::to_string(replica(name).port()) +
+                 "\",\"az\":\"hall\",\"model\":\"gpu\",\"pod_group\":0,\"state\":\"" + as +
+                 "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+    }
+    discovery_.change(entries);
+  }
+  void start() {
+    program_ = std::make_unique<Program>(path_, discovery_.port(), protocol_);
+    const bool kserve = protocol_ == Protocol::kserve;
+    until("the port", [&] {
+      front_ = program().port("listens on 127.0.0.1:");
+      port_ = kserve ? program().port("KServe v2 on 127.0.0.1:") : front_;
+      return port_ != 0;
+    });
+    until("readiness", [&] { return http_status(front_, "/ready") == 200; });
+  }
+  void send(const std::string& id, std::istringstream& in) {
+    Words words;
+    for (std::string word; in >> word;) {
+      const std::size_t equals = word.find('=');
+      words[word.substr(0, equals)] = equals == std::string::npos ? "" : word.substr(equals + 1);
+    }
+    clients_[id] = make_client(protocol_, port_, id, std::move(words));
+  }
+  void expect(Client& client, std::string verdict, const std::string& events) {
+    const std::string got = client.verdict();
+    // At the deadline the module refuses what may be repeated; HTTP says so, gRPC has a status of its own.
+    if (verdict == "late" && protocol_ == Protocol::http) verdict = "unavailable";
+    if (got != verdict) wrong("it was " + got);
+    if (!events.empty() && client.events != std::stoi(events))
+      wrong(std::to_string(client.events) + " events");
+  }
+  void wait(const std::string& what, const std::string& name, long value) {
+    until(what + " " + name, [&] {
+      if (what == "events") return client(name).events >= value;
+      if (what == "calls") return replica(name).behaviour.calls >= value;
+      return program().counter(name) == value;
+    });
+  }
+
+  Protocol protocol_;
+  std::string path_;
+  Discovery discovery_;
+  std::map<std::string, std::unique_ptr<Replica>> replicas_;
+  std::unique_ptr<Program> program_;
+  std::map<std::string, std::unique_ptr<Client>> clients_;
+  unsigned short port_ = 0, front_ = 0;
+};
+
+}  // namespace
+
+std::string run_scenario(const std::string& text, Protocol protocol, const std::string& program) {
+  Run run(protocol, program);
+  std::istringstream in(text);
+  int number = 0;
+  for (std::string line; std::getline(in, line);) {
+    ++number;
+    line = line.substr(0, line.find('#'));
+    if (line.find_first_not_of(" \t\r") == std::string::npos) continue;
+    try {
+      run.step(line);
+    } catch (const std::exception& e) {
+      return "line " + std::to_string(number) + ": " + line + ": " + e.what() + "\n" + run.log();
+    }
+  }
+  return "";
+}
+
+}  // namespace flintglade::tests
--- /dev/null
+++ b/tests/scenario.h
@@ -0,0 +1,31 @@
+// The shared helper of the new tests: a small language of scenarios. A scenario starts the program, stands in
+// for discovery, model replicas and clients on loopback, and speaks HTTP or KServe v2 over gRPC, whichever it
+// is told to. One line, one step:
+//
+//   replica NAME BEHAVIOUR [N]   a model replica and what it does with each request:
+//       stream N    N events, the answer whole       stall N   N events, then silence
+//       break N     N events, then the connection ends
+//       gated       an event now and then until 'release', then the answer is whole
+//       hang        nothing            error    fails       full    turns away: it never ran
+//       refuse      nobody listens
+//   list NAME=STATE ...          discovery's list: ready, draining or gone; further lines are changes
+//   discovery down|up
+//   start                        the program; the next step comes when it is ready
+//   send ID [unary] [class=C] [tenant=T] [model=M] [expires=MS] [body=BYTES] [path=P] [trace=none] [then=ID]
+//   close ID                     the client goes away
+//   expect ID served [N] | broken | unavailable | late | failed | invalid | missing | large
+//   wait events ID N | calls NAME N | counter NAME N     until it is so
+//   release NAME
+//   stop                         SIGTERM, and a clean exit
+#pragma once
+
+#include <string>
+
+namespace flintglade::tests {
+
+enum class Protocol { http, kserve };
+
+// Runs it and gives an empty string, or the step that failed and why.
+std::string run_scenario(const std::string& text, Protocol protocol, const std::string& program);
+
+}  // namespace flintglade::tests
--- /dev/null
+++ b/tests/stand_ins.cpp
@@ -0,0 +1,431 @@
+#include "stand_ins.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+
+#include "kserve/names.h"
+#include "kserve_v2.grpc.pb.h"
+
+namespace flintglade::tests {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using namespace std::chrono_literals;
+
+namespace {
+
+tcp::endpoint loopback(unsigned short port) { return {asio::ip::address_v4::loopback(), port}; }
+
+bool send_all(tcp::socket& socket, const std::string& bytes) {
+  error_code ec;
+  asio::write(socket, asio::buffer(bytes), ec);
+  return !ec;
+}
+std::string chunk(const std::string& bytes) {
+  std::array<char, 16> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  return size.data() + bytes + "\r\n";
+}
+std::string get(const Words& words, const std::string& key, const std::string& otherwise) {
+  const auto it = words.find(key);
+  return it == words.end() ? otherwise : it->second;
+}
+
+// ---- replicas
+// -----------------------------------------------------------------------------------------------
+
+class HttpReplica final : public Replica {
+ public:
+  HttpReplica() : listener_([this](tcp::socket& s) { serve(s); }) {}
+  ~HttpReplica() override {
+    behaviour.stopping = true;
+    listener_.stop();
+  }
+  unsigned short port() const override { return listener_.port(); }
+
+ private:
+  void serve(tcp::socket& socket) {
+    boost::beast::flat_buffer buffer;
+    error_code ec;
+    for (;;) {
+      http::request<http::string_body> request;
+      http::read(socket, buffer, request, ec);
+      if (ec) return;
+      bool began = false;
+      // Each event comes in two chunks, cut in its middle: the router has to put it together.
+      const auto end = behaviour.play([&](int n) {
+        const std::string event = "data: {\"n\":" + std::to_string(n) + "}\n\n";
+        std::string out = began ? "" : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        began = true;
+        return send_all(socket, out + chunk(event.substr(0, 7)) + chunk(event.substr(7)));
+      });
+      switch (end) {
+        case Behaviour::End::whole:
+          if (!send_all(socket, "0\r\n\r\n")) return;
+          break;
+        case Behaviour::End::failed:
+          if (!send_all(socket, "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n")) return;
+          break;
+        case Behaviour::End::turned_away:
+          if (!send_all(socket, "HTTP/1.1 503 no\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")) return;
+          break;
+        case Behaviour::End::broken:
+          return;
+      }
+    }
+  }
+  Listener listener_;
+};
+
+class GrpcReplica final : public Replica, private inference::GRPCInferenceService::Service {
+ public:
+  GrpcReplica() {
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port_);
+    builder.RegisterService(this);
+    server_ = builder.BuildAndStart();
+  }
+  ~GrpcReplica() override {
+    behaviour.stopping = true;
+    server_->Shutdown(std::chrono::system_clock::now() + 100ms);
+  }
+  unsigned short port() const override { return static_cast<unsigned short>(port_); }
+
+ private:
+  grpc::Status ending(Behaviour::End end, grpc::ServerContext* context) {
+    switch (end) {
+      case Behaviour::End::whole:
+        return grpc::Status::OK;
+      case Behaviour::End::failed:
+        return {grpc::StatusCode::INTERNAL, "no"};
+      case Behaviour::End::turned_away:
+        context->AddTrailingMetadata(kserve::kNeverRan, "1");
+        return {grpc::StatusCode::UNAVAILABLE, "full"};
+      case Behaviour::End::broken:
+        break;
+    }
+    return {grpc::StatusCode::UNAVAILABLE, "broke"};
+  }
+  grpc::Status ModelInfer(grpc::ServerContext* context, const inference::ModelInferRequest* request,
+                          inference::ModelInferResponse* response) override {
+    return ending(behaviour.play([&](int) {
+      response->set_id(request->id());
+      return !context->IsCancelled();
+    }),
+                  context);
+  }
+  grpc::Status ModelStreamInfer(grpc::ServerContext* context,
+                                grpc::ServerReaderWriter<inference::ModelStreamInferResponse,
+                                                         inference::ModelInferRequest>* stream) override {
+    inference::ModelInferRequest request;
+    stream->Read(&request);
+    return ending(behaviour.play([&](int n) {
+      inference::ModelStreamInferResponse event;
+      event.mutable_infer_response()->set_id(std::to_string(n));
+      return stream->Write(event) && !context->IsCancelled();
+    }),
+                  context);
+  }
+  int port_ = 0;
+  std::unique_ptr<grpc::Server> server_;
+};
+
+class DeadReplica final : public Replica {  // an address at which nobody listens
+ public:
+  DeadReplica() : port_(Listener([](tcp::socket&) {}).port()) {}
+  unsigned short port() const override { return port_; }
+
+ private:
+  unsigned short port_;
+};
+
+// ---- clients
+// ------------------------------------------------------------------------------------------------
+
+class HttpClient final : public Client {
+ public:
+  HttpClient(unsigned short port, const std::string& id, Words words) : socket_(io_) {
+    socket_.connect(loopback(port));
+    const std::string body(std::stoul(get(words, "body", "2")), 'x');
+    std::string head = "POST " + get(words, "path", "/v1/chat/completions") + " HTTP/1.1\r\nHost: b\r\n";
+    if (get(words, "trace", "") != "none") head += "X-Trace-Id: " + id + "\r\n";
+    head += "X-Qos: " + get(words, "class", "chat") + "\r\nX-Customer: " + get(words, "tenant", "acme") +
+            "\r\nX-Object: 7f\r\nX-Expires-In-Ms: " + get(words, "expires", "8000") +
+            "\r\nX-Props: prefix=5c,prompt_len=100,prefix_len=80,max_out=50\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n";
+    thread_ = std::thread([this, request = head + body] { run(request); });
+  }
+  ~HttpClient() override {
+    close();
+    thread_.join();
+  }
+  void close() override {
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_both, ignored);
+  }
+  std::string verdict() override {
+    while (!done_) std::this_thread::sleep_for(2ms);
+    return verdict_;
+  }
+
+ private:
+  void run(const std::string& request) {
+    error_code ec;
+    asio::write(socket_, asio::buffer(request), ec);
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    std::string body;
+    while (!parser.is_done() && !ec) {
+      buffer.commit(socket_.read_some(buffer.prepare(4096), ec));
+      for (error_code more; buffer.size() > 0 && !parser.is_done() && !more;) {
+        buffer.consume(parser.put(buffer.data(), more));
+      }
+      body += std::exchange(parser.get().body(), {});
+      int seen = 0;
+      for (std::size_t at = 0; (at = body.find("\n\n", at)) != std::string::npos; at += 2) ++seen;
+      events = seen;
+    }
+    verdict_ = judge(parser);
+    done_ = true;
+  }
+  std::string judge(http::response_parser<http::string_body>& parser) {
+    if (!parser.is_header_done()) return "nothing";
+    const auto& head = parser.get();
+    switch (head.result_int()) {
+      case 200:
+        return parser.is_done() ? "served" : "broken";
+      case 503:
+        return head.count("Retry-After") != 0 ? "unavailable" : "unavailable without advice";
+      case 504:
+        return "late";
+      case 500:
+        return "failed";
+      case 400:
+        return "invalid";
+      case 404:
+        return "missing";
+      case 413:
+        return "large";
+      default:
+        return std::to_string(head.result_int());
+    }
+  }
+  asio::io_context io_;
+  tcp::socket socket_;
+  std::string verdict_;
+  std::atomic<bool> done_ = false;
+  std::thread thread_;
+};
+
+class GrpcClient final : public Client {
+ public:
+  GrpcClient(unsigned short port, const std::string& id, const Words& words) {
+    stub_ = inference::GRPCInferenceService::NewStub(
+        grpc::CreateChannel("ipv4:127.0.0.1:" + std::to_string(port), grpc::InsecureChannelCredentials()));
+    context_.AddMetadata(kserve::kClass, get(words, "class", "chat"));
+    context_.AddMetadata(kserve::kTenant, get(words, "tenant", "acme"));
+    context_.AddMetadata(kserve::kSession, "7f");
+    context_.AddMetadata(kserve::kPrefix, "5c");
+    context_.AddMetadata(kserve::kPromptTokens, "100");
+    context_.AddMetadata(kserve::kPrefixTokens, "80");
+    context_.AddMetadata(kserve::kExpires, get(words, "expires", "8000"));
+    inference::ModelInferRequest request;
+    request.set_id(id);
+    request.set_model_name(get(words, "model", "shared"));
+    request.add_raw_input_contents(std::string(std::stoul(get(words, "body", "2")), 'x'));
+    const bool unary = words.count("unary") != 0;
+    thread_ = std::thread([this, request, unary] { unary ? infer(request) : stream(request); });
+  }
+  ~GrpcClient() override {
+    close();
+    thread_.join();
+  }
+  void close() override { context_.TryCancel(); }
+  std::string verdict() override {
+    while (!done_) std::this_thread::sleep_for(2ms);
+    return verdict_;
+  }
+
+ private:
+  void infer(const inference::ModelInferRequest& request) {
+    inference::ModelInferResponse response;
+    const grpc::Status status = stub_->ModelInfer(&context_, request, &response);
+    events = status.ok() ? 1 : 0;
+    finish(status);
+  }
+  void stream(const inference::ModelInferRequest& request) {
+    const auto call = stub_->ModelStreamInfer(&context_);
+    call->Write(request);
+    call->WritesDone();
+    inference::ModelStreamInferResponse event;
+    while (call->Read(&event)) ++events;
+    finish(call->Finish());
+  }
+  void finish(const grpc::Status& status) {
+    const bool advice = context_.GetServerTrailingMetadata().count(kserve::kPushback) != 0;
+    switch (status.error_code()) {
+      case grpc::StatusCode::OK:
+        verdict_ = "served";
+        break;
+      case grpc::StatusCode::UNAVAILABLE:
+        verdict_ = advice ? "unavailable" : "unavailable without advice";
+        break;
+      case grpc::StatusCode::DEADLINE_EXCEEDED:
+        verdict_ = "late";
+        break;
+      case grpc::StatusCode::INTERNAL:
+        verdict_ = events > 0 ? "broken" : "failed";
+        break;
+      case grpc::StatusCode::INVALID_ARGUMENT:
+        verdict_ = "invalid";
+        break;
+      case grpc::StatusCode::NOT_FOUND:
+        verdict_ = "missing";
+        break;
+      case grpc::StatusCode::RESOURCE_EXHAUSTED:
+        verdict_ = "large";
+        break;
+      default:
+        verdict_ = "status " + std::to_string(status.error_code()) + ": " + status.error_message();
+    }
+    done_ = true;
+  }
+  std::unique_ptr<inference::GRPCInferenceService::Stub> stub_;
+  grpc::ClientContext context_;
+  std::string verdict_;
+  std::atomic<bool> done_ = false;
+  std::thread thread_;
+};
+
+}  // namespace
+
+Behaviour::End Behaviour::play(const std::function<bool(int)>& emit) {
+  ++calls;
+  const auto wait_until = [this, &emit](const std::atomic<bool>& flag, bool ticking) {
+    for (int n = 0; !flag && !stopping; ++n) {
+      if (ticking && n % 10 == 0 && !emit(n / 10)) return false;
+      std::this_thread::sleep_for(5ms);
+    }
+    return true;
+  };
+  if (kind == "error") return End::failed;
+  if (kind == "full") return End::turned_away;
+  if (kind == "gated") return wait_until(released, true) ? End::whole : End::broken;
+  for (int n = 0; n < events && kind != "hang"; ++n) {
+    if (!emit(n)) return End::broken;
+  }
+  if (kind == "stream") return End::whole;
+  if (kind == "break")
+    std::this_thread::sleep_for(50ms);  // so that the events are not overtaken by the break
+  if (kind != "break") wait_until(stopping, false);
+  return End::broken;
+}
+
+Listener::Listener(Serve serve) : acceptor_(io_, loopback(0)), serve_(std::move(serve)) {
+  port_ = acceptor_.local_endpoint().port();
+  threads_.emplace_back([this] {
+    for (int id = 0;; ++id) {
+      const auto socket = std::make_shared<tcp::socket>(io_);
+      error_code ec;
+      acceptor_.accept(*socket, ec);
+      const std::lock_guard lock(mutex_);
+      if (ec || stopping_) return;
+      open_[id] = socket;
+      threads_.emplace_back([this, id, socket] {
+        serve_(*socket);
+        const std::lock_guard closing(mutex_);
+        open_.erase(id);
+        error_code ignored;
+        socket->close(ignored);
+      });
+    }
+  });
+}
+
+void Listener::stop() {
+  if (stopping_.exchange(true)) return;
+  error_code ignored;
+  ::shutdown(acceptor_.native_handle(), SHUT_RDWR);  // wakes the accepting thread
+  threads_.front().join();
+  acceptor_.close(ignored);
+  {
+    const std::lock_guard lock(mutex_);
+    for (auto& [id, socket] : open_) socket->shutdown(tcp::socket::shutdown_both, ignored);
+  }
+  for (std::size_t i = 1; i < threads_.size(); ++i) threads_[i].join();
+}
+
+std::unique_ptr<Replica> make_replica(Protocol protocol, const std::string& kind, int events) {
+  std::unique_ptr<Replica> out;
+  if (kind == "refuse") {
+    out = std::make_unique<DeadReplica>();
+  } else if (protocol == Protocol::http) {
+    out = std::make_unique<HttpReplica>();
+  } else {
+    out = std::make_unique<GrpcReplica>();
+  }
+  out->behaviour.kind = kind;
+  out->behaviour.events = events;
+  return out;
+}
+
+Discovery::Discovery() : listener_(std::make_unique<Listener>([this](tcp::socket& s) { serve(s); })) {
+  port_ = listener_->port();
+}
+Discovery::~Discovery() {
+  stopping_ = true;
+  down();
+}
+void Discovery::down() {
+  stopping_ = true;
+  if (listener_) listener_->stop();
+}
+void Discovery::change(const std::string& entries) {
+  const std::lock_guard lock(mutex_);
+  lines_.push_back("{\"rev\":" + std::to_string(lines_.size() + 1) +
+                   ",\"all\":" + (lines_.empty() ? "true" : "false") + ",\"targets\":[" + entries + "]}\n");
+}
+void Discovery::serve(tcp::socket& socket) {
+  boost::beast::flat_buffer buffer;
+  http::request<http::string_body> request;
+  error_code ec;
+  http::read(socket, buffer, request, ec);
+  if (ec || !send_all(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")) return;
+  std::size_t sent = 0;
+  for (int n = 0; !stopping_; ++n) {
+    std::string out;
+    {
+      const std::lock_guard lock(mutex_);
+      while (sent < lines_.size()) out += chunk(lines_[sent++]);
+    }
+    if (n % 200 == 199) out += chunk("\n");
+    if (!out.empty() && !send_all(socket, out)) return;
+    std::this_thread::sleep_for(5ms);
+  }
+}
+
+std::unique_ptr<Client> make_client(Protocol protocol, unsigned short port, const std::string& id,
+                                    Words words) {
+  if (protocol == Protocol::http) return std::make_unique<HttpClient>(port, id, std::move(words));
+  return std::make_unique<GrpcClient>(port, id, words);
+}
+
+int http_status(unsigned short port, const std::string& path) {
+  asio::io_context io;
+  tcp::socket socket(io);
+  error_code ec;
+  socket.connect(loopback(port), ec);
+  if (ec || !send_all(socket, "GET " + path + " HTTP/1.1\r\nHost: b\r\n\r\n")) return 0;
+  boost::beast::flat_buffer buffer;
+  http::response<http::string_body> response;
+  http::read(socket, buffer, response, ec);
+  return ec ? 0 : static_cast<int>(response.result_int());
+}
+
+}  // namespace flintglade::tests
--- /dev/null
+++ b/tests/stand_ins.h
@@ -0,0 +1,90 @@
+// Stand-ins for what surrounds the router: discovery, model replicas, clients. Blocking, a thread for each
+// connection; what they are told to do comes from the scenario.
+#pragma once
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "scenario.h"
+
+namespace flintglade::tests {
+
+using Words = std::map<std::string, std::string>;
+
+class Behaviour {  // shared by both kinds of replica
+ public:
+  std::string kind = "stream";
+  int events = 1;
+  std::atomic<int> calls = 0;
+  std::atomic<bool> released = false;
+  std::atomic<bool> stopping = false;
+
+  enum class End { whole, broken, failed, turned_away };
+  // Plays the behaviour; emit gives false once the other side is gone.
+  End play(const std::function<bool(int)>& emit);
+};
+
+// Accepts connections on loopback and runs serve for each on a thread.
+class Listener {
+ public:
+  using Serve = std::function<void(boost::asio::ip::tcp::socket&)>;
+  explicit Listener(Serve serve);
+  ~Listener() { stop(); }
+  void stop();
+  unsigned short port() const { return port_; }
+
+ private:
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  unsigned short port_ = 0;
+  Serve serve_;
+  std::mutex mutex_;
+  std::map<int, std::shared_ptr<boost::asio::ip::tcp::socket>> open_;
+  std::vector<std::thread> threads_;
+  std::atomic<bool> stopping_ = false;
+};
+
+class Replica {
+ public:
+  Behaviour behaviour;
+  virtual ~Replica() = default;
+  virtual unsigned short port() const = 0;
+};
+std::unique_ptr<Replica> make_replica(Protocol protocol, const std::string& kind, int events);
+
+class Discovery {
+ public:
+  Discovery();
+  ~Discovery();
+  unsigned short port() const { return port_; }
+  void change(const std::string& entries);  // JSON objects, separated by commas
+  void down();
+
+ private:
+  void serve(boost::asio::ip::tcp::socket& socket);
+  std::mutex mutex_;
+  std::vector<std::string> lines_;
+  std::atomic<bool> stopping_ = false;
+  unsigned short port_ = 0;
+  std::unique_ptr<Listener> listener_;
+};
+
+class Client {
+ public:
+  std::atomic<int> events = 0;
+  virtual ~Client() = default;
+  virtual void close() = 0;
+  virtual std::string verdict() = 0;  // waits for the end
+};
+std::unique_ptr<Client> make_client(Protocol protocol, unsigned short port, const std::string& id,
+                                    Words words);
+int http_status(unsigned short port, const std::string& path);  // 0: no answer
+
+}  // namespace flintglade::tests
--- /dev/null
+++ b/tests/units_test.cpp
@@ -0,0 +1,339 @@
+// Plain asserts on the parts that need no socket. Each guards against a failure that a scenario would show
+// only by chance.
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+
+#include "config/config.h"
+#include "config/labels.h"
+#include "core/broker.h"
+#include "discovery/entries.h"
+#include "http/sse.h"
+#include "kserve/operator_file.h"
+#include "pcap/reader.h"
+#include "pcap/writer.h"
+
+namespace {
+
+using namespace flintglade;
+using core::Micros;
+using pipitcleat::Health;
+using pipitcleat::Outcome;
+
+#define CHECK(what)                                                   \
+  do {                                                                \
+    if (!(what)) {                                                    \
+      std::fprintf(stderr, "%s:%d: %s\n", __FILE__, __LINE__, #what); \
+      std::exit(1);                                                   \
+    }                                                                 \
+  } while (false)
+
+// ---- a core on stand-in ports: time moves only when a test says so
+// ------------------------------------------
+
+struct Ports final : core::Clock, core::ReplicaList, core::Subchannels {
+  Micros time = 1000 * core::kSecond;
+  int observed = 0;
+  std::vector<core::CallId> calls, cancelled;
+  std::vector<bool> paused;
+  std::vector<Micros> patience;
+  Micros no_new_after = 0;
+  Micros now() override { return time; }
+  void observe(bool) override { ++observed; }
+  void update(const core::Endpoint&, Micros limit) override { no_new_after = limit; }
+  void call(core::CallId id, core::ReplicaId, std::shared_ptr<const core::RpcRequest>, Micros p) override {
+    calls.push_back(id);
+    patience.push_back(p);
+  }
+  void cancel(core::CallId id) override { cancelled.push_back(id); }
+  void pause(core::CallId, bool on) override { paused.push_back(on); }
+};
+
+struct Answer final : core::Channel {
+  std::string text, end;
+  bool slow = false;
+  bool pass(std::string_view events) override {
+    text += events;
+    return !slow;
+  }
+  void finish() override { end += "finish"; }
+  void break_off() override { end += "break"; }
+  void unavailable(Micros, bool late) override { end += late ? "late" : "unavailable"; }
+  void fail(core::Failure) override { end += "fail"; }
+};
+
+struct Core {
+  Ports ports;
+  core::BrokerSettings limits;
+  std::unique_ptr<core::Broker> broker;
+  explicit Core(std::size_t body_budget = 1 << 20) {
+    pipitcleat::Settings s;
+    s.classes.resize(1);
+    s.classes[0].streamed = true;
+    s.list_on_request = s.may_cancel = s.may_duplicate = s.retry_after = true;
+    s.most_tries = 3;
+    s.max_retry_after = 2.0;
+    limits.body_budget = body_budget;
+    broker = std::make_unique<core::Broker>(limits, s, 7, ports, ports);
+    broker->attach(core::Wire::http, ports);
+    list(Health::ready, 1);
+  }
+  void list(Health health, core::ReplicaId id) {
+    core::ListNews news;
+    news.kind = pipitcleat::ListKind::full;
+    news.entries.resize(1);
+    news.entries[0].address = "127.0.0.1:1";
+    news.entries[0].replica.id = id;
+    news.entries[0].replica.health = health;
+    broker->list_news(std::move(news));
+    broker->turn();
+  }
+  std::shared_ptr<Answer> send(core::RpcId& id, std::size_t body = 0) {
+    auto rpc = std::make_shared<core::RpcRequest>();
+    rpc->patience = 5 * core::kSecond;
+    rpc->body.assign(body, 'x');
+    const auto answer = std::make_shared<Answer>();
+    id = broker->arrived(rpc, answer);
+    broker->turn();
+    return answer;
+  }
+  void pass_time(Micros span) {
+    for (const Micros end = ports.time + span; ports.time < end; ports.time += 5 * core::kMilli)
+      broker->turn();
+  }
+};
+
+void an_answer_ends_once() {
+  Core c;
+  core::RpcId id = 0;
+  const auto answer = c.send(id);
+  CHECK(c.ports.calls.size() == 1);
+  c.broker->call_events({id, 0}, "a");
+  c.broker->call_events({id, 0}, "b");
+  c.broker->call_ended({id, 0}, Outcome::ok);
+  c.broker->call_ended({id, 0}, Outcome::reset);  // a second word on the same attempt is passed over
+  c.broker->client_gone(id);
+  c.broker->turn();
+  CHECK(answer->text == "ab" && answer->end == "finish");
+  CHECK(c.broker->open_rpcs() == 0 && c.broker->counters().gone == 0);
+}
+
+void events_after_the_first_have_no_deadline() {
+  Core c;
+  core::RpcId id = 0;
+  const auto answer = c.send(id);
+  c.broker->call_events({id, 0}, "a");
+  for (int i = 0; i < 8; ++i) {
+    c.pass_time(core::kSecond);
+    c.broker->call_events({id, 0}, "b");
+  }
+  c.broker->call_ended({id, 0}, Outcome::ok);
+  c.broker->turn();
+  CHECK(answer->text == "abbbbbbbb" && answer->end == "finish");
+  CHECK(c.ports.calls.size() == 1);
+}
+
+void a_silent_stream_breaks_and_a_held_up_one_does_not() {
+  Core c;
+  core::RpcId id = 0;
+  auto answer = c.send(id);
+  c.broker->call_events({id, 0}, "a");
+  c.pass_time(2 * c.limits.stall);
+  CHECK(answer->end == "break" && c.ports.cancelled.size() == 1 && c.broker->counters().stalled == 1);
+  answer = c.send(id);
+  answer->slow = true;
+  c.broker->call_events({id, 0}, "a");
+  c.pass_time(2 * c.limits.stall);
+  CHECK(answer->end.empty() && c.ports.paused == std::vector<bool>{true});
+  c.broker->writable(id);
+  c.broker->turn();
+  CHECK(c.ports.paused.back() == false);
+}
+
+void every_rpc_is_answered_by_its_deadline() {
+  Core c;
+  core::RpcId id = 0;
+  const auto answer = c.send(id);
+  c.pass_time(5 * core::kSecond + c.limits.answer_grace);
+  CHECK(answer->end == "late");
+  CHECK(c.broker->open_rpcs() == 0);
+}
+
+void a_gone_client_ends_its_call() {
+  Core c;
+  core::RpcId id = 0;
+  const auto answer = c.send(id);
+  c.broker->call_events({id, 0}, "a");
+  c.broker->client_gone(id);
+  c.broker->turn();
+  CHECK(answer->end.empty() && c.ports.cancelled.size() == 1);
+  CHECK(c.broker->counters().outcomes[static_cast<int>(Outcome::cancelled)] == 1);
+}
+
+void the_first_word_of_a_drain_counts() {
+  Core c;
+  CHECK(c.ports.no_new_after == core::kNever);
+  const Micros told = c.ports.time;
+  c.list(Health::draining, 1);
+  c.ports.time += core::kSecond;
+  c.list(Health::gone, 1);
+  CHECK(c.ports.no_new_after == told + c.limits.drain_grace);
+  c.list(Health::ready, 1);
+  CHECK(c.ports.no_new_after == core::kNever);
+}
+
+void bodies_are_a_budget() {
+  Core c(1000);
+  core::RpcId id = 0;
+  const auto first = c.send(id, 900);
+  const auto second = c.send(id, 900);
+  CHECK(first->end.empty() && second->end == "unavailable" && c.broker->counters().overloaded == 1);
+}
+
+void draining_waits_for_what_is_open() {
+  Core c;
+  core::RpcId id = 0;
+  CHECK(c.broker->phase() == core::Phase::serving);
+  const auto answer = c.send(id);
+  c.broker->drain();
+  c.pass_time(2 * c.limits.linger);
+  CHECK(c.broker->phase() == core::Phase::draining);
+  c.broker->call_events({id, 0}, "a");
+  c.broker->call_ended({id, 0}, Outcome::ok);
+  c.broker->turn();
+  CHECK(c.broker->phase() == core::Phase::stopped && answer->end == "finish");
+}
+
+// ---- the edges
+// ----------------------------------------------------------------------------------------------
+
+void events_are_whole_whatever_the_chunks() {
+  const std::string all =
+      "data: {\"a\":1}\n\ndata: x\r\n\r\ndata: {\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\": "
+      "4096}}}\n\n: note\n\ndata: [DONE]";
+  for (std::size_t size = 1; size <= all.size(); ++size) {
+    http::EventStream stream;
+    std::string out;
+    for (std::size_t at = 0; at < all.size(); at += size) {
+      const std::string whole = stream.feed(std::string_view(all).substr(at, size));
+      CHECK(whole.empty() || whole.back() == '\n');
+      out += whole;
+    }
+    CHECK(out + stream.rest() == all);
+    CHECK(stream.cached_tokens() == 4096);
+  }
+}
+
+void settings_are_flattened_and_checked() {
+  std::string error;
+  const std::string lines =
+      config::flatten(R"({"classes":[{"name":"a b"}],"zones":["x","y,z"],"on":true,"n":{"v":1.5}})", error);
+  CHECK(error.empty());
+  CHECK(lines == "classes.count=1\nclasses.0.name=a_b\nn.v=1.5\non=true\nzones=x,y_z\n");
+  config::Config c;
+  CHECK(config::parse("[]", c) == "config: not a JSON object");
+  CHECK(config::parse(R"({"settings":{}})", c) == "config: settings.classes is missing or empty");
+  CHECK(config::parse(R"({"listen":"x","settings":{}})", c).find("listen") != std::string::npos);
+  CHECK(config::parse(R"({"seed":"zz","settings":{}})", c).find("seed") != std::string::npos);
+  CHECK(config::parse(R"({"settings":{"classes":[{"aim":"soon"}]}})", c).find("classes.0.aim") !=
+        std::string::npos);
+  CHECK(
+      config::parse(R"({"settings":{"classes":[{"name":"a"}],"permissions":{"conn_idle":2.5}}})", c).empty());
+  CHECK(c.conn_idle == 2'500'000 && c.classes == std::vector<std::string>{"a"});
+}
+
+void labels_are_checked() {
+  const config::Labels labels{{"a", "b"}, {"t"}, {1, 2}};
+  core::RpcRequest rpc;
+  CHECK(config::apply({.klass = "b", .tenant = "t", .session = "ff"}, labels, rpc).empty());
+  CHECK(rpc.klass == 1 && rpc.patience == 2 && rpc.session == 255);
+  CHECK(!config::apply({.klass = "c", .tenant = "t"}, labels, rpc).empty());
+  CHECK(!config::apply({.klass = "a", .tenant = "u"}, labels, rpc).empty());
+  CHECK(!config::apply({.klass = "a", .tenant = "t", .prompt_tokens = "nan"}, labels, rpc).empty());
+  CHECK(!config::apply({.klass = "a", .tenant = "t", .expires_ms = "-1"}, labels, rpc).empty());
+  CHECK(config::name_to_key("") == 0 && config::name_to_key("zebra") != 0);
+}
+
+void lists_are_read_and_odd_entries_left_out() {
+  const discovery::Names names{{"z"}, {"m1", "m2"}, 0};
+  core::ListNews news;
+  CHECK(!discovery::parse_list("{}", names, news) && !discovery::parse_list("nonsense", names, news));
+  CHECK(discovery::parse_list(
+      R"({"rev":7,"all":false,"targets":[5,{"uid":""},{"uid":"s","endpoint":"h:1","az":"z","model":"m2",
+         "state":"Terminating","boot_ms":2000},{"uid":"g","state":"Gone"}]})",
+      names, news));
+  CHECK(news.version == 7 && news.kind == pipitcleat::ListKind::delta && news.entries.size() == 2);
+  CHECK(news.entries[0].replica.kind == 1 && news.entries[0].replica.health == Health::draining);
+  CHECK(news.entries[0].replica.born == 2.0 && news.entries[0].replica.id == discovery::replica_id("s"));
+}
+
+void operator_files_are_checked() {
+  kserve::OperatorFile f;
+  CHECK(kserve::parse("{}", f) == "kserve: listen is not of the form ADDRESS:PORT");
+  CHECK(kserve::parse(R"({"listen":"127.0.0.1:1","models":[]})", f) == "kserve: models is missing or empty");
+  CHECK(kserve::parse(R"({"listen":"127.0.0.1:1","models":[{"name":"m","versions":["1"]}]})", f).empty());
+  CHECK(f.find("m", "") != nullptr && f.find("m", "2") == nullptr && f.find("n", "") == nullptr);
+}
+
+// Segments out of order, sent again and cut anywhere give the same requests; rubbish gives none.
+void savefiles_give_back_what_was_written() {
+  const std::string path = "/tmp/flintglade-units-" + std::to_string(getpid()) + ".pcap";
+  const config::Labels labels{{"chat"}, {"acme"}, {core::kSecond}};
+  const std::string body(5000, 'b');
+  const std::string request =
+      "POST /v1/chat/completions HTTP/1.1\r\nX-Trace-Id: 1\r\nX-Qos: chat\r\nX-Customer: acme\r\n"
+      "X-Object: 2a\r\nContent-Length: 5000\r\n\r\n" +
+      body;
+  const pcap::Conversation talk{{{127, 0, 0, 1}, 4000}, {{127, 0, 0, 2}, 8000}};
+  {
+    pcap::Writer writer;
+    CHECK(writer.open(path).empty());
+    auto exchange = writer.begin(talk, 0);
+    writer.from_client(exchange, request, 10);
+    writer.from_server(exchange, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 20);
+    auto again = exchange;
+    writer.from_client(exchange, request + "POST /other HTTP/1.1\r\n\r\n", 2000);
+    exchange.client_next = again.client_next + 3000;  // the second half once more: a retransmission
+    writer.from_client(exchange, request.substr(3000), 2500);
+    auto late = writer.begin({{{127, 0, 0, 1}, 4001}, talk.server}, 3000);
+    late.client_next += 100;  // its second part is on the wire before the first
+    writer.from_client(late, request.substr(100), 3100);
+    late.client_next = 1;
+    writer.from_client(late, request.substr(0, 100), 3200);
+    writer.end(exchange, true, 4000);
+  }
+  pcap::ReadResult result;
+  CHECK(pcap::read_requests(path, labels, result).empty());
+  CHECK(result.requests.size() == 3 && result.skipped == 0 && result.malformed == 0);
+  CHECK(result.requests[0].rpc.body == body && result.requests[0].rpc.session == 0x2a);
+  CHECK(result.requests[1].at == 2000 && result.requests[2].at == 3200);
+  std::ofstream(path) << "this is no savefile";
+  pcap::ReadResult none;
+  CHECK(!pcap::read_requests(path, labels, none).empty() && none.requests.empty());
+  ::unlink(path.c_str());
+}
+
+}  // namespace
+
+int main() {
+  const std::function<void()> tests[] = {an_answer_ends_once,
+                                         events_after_the_first_have_no_deadline,
+                                         a_silent_stream_breaks_and_a_held_up_one_does_not,
+                                         every_rpc_is_answered_by_its_deadline,
+                                         a_gone_client_ends_its_call,
+                                         the_first_word_of_a_drain_counts,
+                                         bodies_are_a_budget,
+                                         draining_waits_for_what_is_open,
+                                         events_are_whole_whatever_the_chunks,
+                                         settings_are_flattened_and_checked,
+                                         labels_are_checked,
+                                         lists_are_read_and_odd_entries_left_out,
+                                         operator_files_are_checked,
+                                         savefiles_give_back_what_was_written};
+  for (const auto& test : tests) test();
+  std::printf("%zu passed, 0 failed\n", std::size(tests));
+}
