Answer at once what no replica can take any more; bound how long a request is held

Cause: Balancer::Impl::advance held it (hold alarm every tenth of the aim) until came + aim, or until the deadline itself where late answers are worth something, although every ready replica had been tried and none may be tried twice. Ruled out: the router, which carries a BUSY out in the turn in which it gets it. Now advance answers when all ready replicas have been tried, and any hold ends at half of the client's wait. The unit test fails without the change.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -52,6 +52,8 @@
 constexpr int kStreamsSeen = 50;
 constexpr double kExcessFrom = 0.9, kLateTarget = 0.2, kAdmitStep = 0.06, kLeastAdmitted = 0.1;
 constexpr double kCalm = 0.1;
+// A request that nothing may take is held for this part of the time that its client waits, at the most.
+constexpr double kHoldPart = 0.5;
 // How many rehashes look for a slot before the first fit in table order is taken.
 constexpr int kMostRehashes = 48;
 // The table of prefixes is bounded by this; beyond it the quiet ones go.
@@ -557,13 +559,25 @@
       return send(q, index);
     }
     if (any_out(q)) return;
-    // Nothing may take it now: no replica is ready, or all are cold with their budgets spent. Hold it while
-    // it can still earn something.
-    const double until = useful_until(q);
-    if (now_ >= until) return answer(q);
+    // Nothing may take it now: no replica is ready, or those left are cold with their budgets spent. Hold it
+    // while that can change and it can still earn something. Once every ready replica has been tried, nothing
+    // can change for it, and its client is told at once.
+    const double until = hold_until(q);
+    if (now_ >= until || tried_all(q)) return answer(q);
     sink_->set_alarm(std::max(0.005, std::min(q.aim / 10.0, until - now_)),
                      q.query.id | kHoldAlarm << kCookieShift);
   }
+  bool tried_all(const Request& q) const {
+    if (q.tries.empty()) return false;
+    for (int i = 0; i < static_cast<int>(replicas_.size()); ++i) {
+      if (may_go_to(q, i)) return false;
+    }
+    return true;
+  }
+  // A client is never kept until near its deadline on the mere hope of a replica.
+  double hold_until(const Request& q) const {
+    return std::min(useful_until(q), q.came + kHoldPart * (q.query.deadline - q.came));
+  }
   double useful_until(const Request& q) const {
     return klass(q).late_value > 0.0 ? q.query.deadline : std::min(q.query.deadline, q.came + q.aim);
   }
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -163,6 +163,23 @@
   CHECK(c.broker->open_rpcs() == 0);
 }
 
+// Refused by every replica there is: nothing can change for it, so its client is not kept waiting.
+void an_rpc_that_is_given_up_is_answered_at_once() {
+  Core c;
+  core::RpcId id = 0;
+  auto answer = c.send(id);
+  c.broker->call_ended({id, 0}, Outcome::full);
+  c.broker->turn();
+  CHECK(answer->end == "unavailable" && c.broker->open_rpcs() == 0);
+  // Without any replica it is held in the hope of one, but not for long.
+  c.list(Health::gone, 1);
+  answer = c.send(id);
+  c.pass_time(500 * core::kMilli);
+  CHECK(answer->end.empty());
+  c.pass_time(2000 * core::kMilli);
+  CHECK(answer->end == "unavailable");
+}
+
 void a_gone_client_ends_its_call() {
   Core c;
   core::RpcId id = 0;
@@ -324,6 +341,7 @@
                                          events_after_the_first_have_no_deadline,
                                          a_silent_stream_breaks_and_a_held_up_one_does_not,
                                          every_rpc_is_answered_by_its_deadline,
+                                         an_rpc_that_is_given_up_is_answered_at_once,
                                          a_gone_client_ends_its_call,
                                          the_first_word_of_a_drain_counts,
                                          bodies_are_a_budget,
