Fix answers that stood still for slow clients, and clients left waiting when crowded

HttpFront::Connection::pass and GrpcFront::Call::pass set held_up_ anew on each event. An event gathered before the pause but passed after a write had begun cleared it, wrote() then never told the core that the client had caught up, and the replica was never read again. held_up_ now stays until wrote() clears it. HttpFront::accept closed the oldest idle connection for room, also one just accepted whose request was in the kernel. Past the budget of descriptors clients waited in the listener's queue, where the kernel has taken them for us. A few more are let in now and told at once to come again (503, Retry-After).

--- a/include/pipitcleat/balancer.h
+++ b/include/pipitcleat/balancer.h
@@ -7,7 +7,8 @@
 // running out of memory. The sink is borrowed for the call only; string views are valid for the call only.
 //
 // Call order: construct, on_list with the list known at the start, then events as they come. A query that
-// comes before any list is held for a part of its time, in the hope of one. Ids of requests that are unknown or over are passed over.
+// comes before any list is held for a part of its time, in the hope of one. Ids of requests that are unknown
+// or over are passed over.
 #pragma once
 
 #include <cstdint>
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -38,6 +38,7 @@
 
   // ---- gathered events: kept until the next turn ----
   RpcId arrived(std::shared_ptr<const RpcRequest> rpc, std::shared_ptr<Channel> channel);
+  void turned_away() { ++counters_.overloaded; }  // a front had no room for an RPC
   void client_gone(RpcId id);
   void writable(RpcId id);
   void call_events(CallId id, std::string events);  // whole events; the first ones bind the attempt
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -15,7 +15,7 @@
   std::uint64_t broken = 0;       // streams that broke after their first event
   std::uint64_t stalled = 0;      // of them, because no event came any more
   std::uint64_t unavailable = 0;  // refused by the module
-  std::uint64_t overloaded = 0;   // refused for lack of memory, before the module saw them
+  std::uint64_t overloaded = 0;   // refused for lack of memory or descriptors, unseen by the module
   std::uint64_t failed = 0;
   std::uint64_t overdue = 0;                // answered by the core because the module had not by the deadline
   std::uint64_t gone = 0;                   // clients that went away first
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -26,6 +26,8 @@
 // What may wait for a slow client before its replica is no longer read.
 constexpr std::size_t kBacklog = 64u << 10;
 constexpr Micros kIdleClient = 90 * core::kSecond;
+// Idle for less than this, a connection may have a request on its way: it is not the one to close for room.
+constexpr Micros kQuiet = core::kSecond;
 constexpr Micros kHalfRequest = 15 * core::kSecond;  // a request that is still not whole after this long
 constexpr Micros kLinger = 2 * core::kSecond;        // a refused client that still sends
 constexpr Micros kStuckWrite = 30 * core::kSecond;   // a client that reads nothing for this long
@@ -90,7 +92,9 @@
     std::snprintf(size.data(), size.size(), "%zx\r\n", events.size());
     out_.append(size.data()).append(events).append("\r\n");
     write();
-    held_up_ = out_.size() > kBacklog;
+    // Once held up, it stays so until wrote() has said that all is written: an event that was on its way when
+    // the replica was paused must not take that word back, or nobody would ever read the replica again.
+    held_up_ = held_up_ || out_.size() > kBacklog;
     return !held_up_;
   }
   void finish() override {
@@ -186,12 +190,21 @@
       respond(405, "POST only\n");
       return write();
     }
+    if (owner_->crowded()) {
+      // The kernel takes clients in whether we accept them or not, and what they have sent then counts as
+      // taken. Rather than leave them waiting in the listener's queue, tell them at once to come again.
+      owner_->broker_.turned_away();
+      close_after_ = true;
+      respond(503, "too many clients: try again later\n", "Retry-After: 1\r\n");
+      return write();
+    }
     auto rpc = std::make_shared<core::RpcRequest>();
     const std::string wrong = to_rpc(std::move(request), owner_->set_.labels, *rpc);
     if (!wrong.empty()) {
       respond(400, wrong + "\n");
       return write();
     }
+    if (owner_->over_budget()) close_after_ = true;  // served, but its descriptor is wanted back
     began_ = false;
     rpc_ = owner_->broker_.arrived(std::move(rpc), shared_from_this());
   }
@@ -296,8 +309,10 @@
 }
 
 void HttpFront::accept() {
-  // Past the budget of descriptors new clients wait in the listener's queue until a connection ends.
-  if (connections_.size() >= set_.most_connections && !drop_one_idle()) {
+  // Past the budget of descriptors a few more are let in, to be told so; beyond them new clients wait in the
+  // listener's queue until a connection ends.
+  if (connections_.size() >= set_.most_connections) drop_one_idle();
+  if (connections_.size() >= set_.most_connections + set_.crowd) {
     accepting_ = false;
     return;
   }
@@ -323,15 +338,19 @@
   });
 }
 
-bool HttpFront::drop_one_idle() {
+bool HttpFront::crowded() const { return over_budget() && broker_.open_rpcs() >= set_.most_connections; }
+bool HttpFront::over_budget() const { return connections_.size() > set_.most_connections; }
+
+void HttpFront::drop_one_idle() {
   Connection* oldest = nullptr;
+  const Micros quiet_since = clock_.now() - kQuiet;
   for (const auto& c : connections_) {
-    if (c->idle() && (oldest == nullptr || c->since() < oldest->since())) oldest = c.get();
+    if (c->idle() && c->since() < quiet_since && (oldest == nullptr || c->since() < oldest->since()))
+      oldest = c.get();
   }
-  if (oldest == nullptr) return false;
+  if (oldest == nullptr) return;
   accepting_ = true;  // the caller accepts; drop() need not
   oldest->drop();
-  return true;
 }
 
 void HttpFront::close_idle() {
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -17,6 +17,7 @@
 struct FrontSettings {
   config::Labels labels;
   std::size_t most_connections = 448;
+  std::size_t crowd = 32;  // let in beyond that, only to be told to come again
 };
 
 class HttpFront {
@@ -34,7 +35,9 @@
   void accept();
   void accept_later();
   void sweep();
-  bool drop_one_idle();
+  bool crowded() const;
+  bool over_budget() const;
+  void drop_one_idle();
 
   boost::asio::io_context& io_;
   core::Broker& broker_;
--- a/src/kserve/front.cpp
+++ b/src/kserve/front.cpp
@@ -76,7 +76,7 @@
     backlog_ += message.size();
     out_.push_back(to_buffer(message));
     write();
-    held_up_ = backlog_ > kBacklog;
+    held_up_ = held_up_ || backlog_ > kBacklog;  // until wrote() says that all is written
     return !held_up_;
   }
   void finish() override {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -108,8 +108,9 @@
 
   boost::asio::io_context io(1);
   MonotonicClock clock;
-  const std::size_t reserved = kSpareDescriptors + (options.kserve.empty() ? 0 : kGrpcDescriptors);
-  const std::size_t pool = (config.sockets - std::min(config.sockets / 2, reserved)) / 2;
+  const std::size_t reserved =
+      std::min(config.sockets / 2, kSpareDescriptors + (options.kserve.empty() ? 0 : kGrpcDescriptors));
+  const std::size_t pool = (config.sockets - reserved) / 2;
   discovery::Watch watch(io, config.discovery, {config.zones, config.kinds, unix_to_monotonic(clock)});
   core::BrokerSettings settings;
   settings.drain_grace = config.drain_grace;
@@ -124,7 +125,7 @@
   http_settings.most_connections = pool;
   http::HttpSubchannels http_subchannels(io, broker, clock, http_settings);
   broker.attach(core::Wire::http, http_subchannels);
-  http::HttpFront http_front(io, broker, clock, {labels(config), pool});
+  http::HttpFront http_front(io, broker, clock, {labels(config), pool, reserved / 4});
   http_front.on_exhausted([&http_subchannels] { return http_subchannels.shed_idle(); });
   error = http_front.listen(config.listen);
   if (!error.empty()) return diagnose(error);
--- a/src/pcap/packets.h
+++ b/src/pcap/packets.h
@@ -5,7 +5,6 @@
 #include <compare>
 #include <cstdint>
 #include <string>
-#include <vector>
 
 #include "core/ports.h"
 
@@ -24,6 +23,7 @@
 struct CapturedRequest {
   core::Micros at = 0;  // when its last byte was on the wire, from the file's first packet on
   Conversation conversation;
+  std::string head;  // start line and fields as they were, for the record
   core::RpcRequest rpc;
 };
 
--- a/src/pcap/reader.cpp
+++ b/src/pcap/reader.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string_view>
 
 #include "http/request.h"
@@ -132,7 +133,9 @@
         http::Request request = parser_->release();
         parser_.reset();
         if (http::path_of(request) != http::kCompletionsPath) continue;
-        CapturedRequest captured{at, conversation, {}};
+        std::ostringstream head;
+        head << request.base();
+        CapturedRequest captured{at, conversation, head.str(), {}};
         if (out.requests.size() < kMostRequests &&
             http::to_rpc(std::move(request), labels, captured.rpc).empty()) {
           out.requests.push_back(std::move(captured));
--- a/src/pcap/replay.cpp
+++ b/src/pcap/replay.cpp
@@ -17,12 +17,7 @@
   Exchange(Replay& owner, const CapturedRequest& request) : owner_(owner) {
     if (!owner_.writer_) return;
     state_ = owner_.writer_->begin(request.conversation, now());
-    const core::RpcRequest& r = request.rpc;
-    owner_.writer_->from_client(state_,
-                                r.method + " " + r.target + " HTTP/1.1\r\nX-Trace-Id: " + r.trace_id +
-                                    "\r\nContent-Length: " + std::to_string(r.body.size()) + "\r\n\r\n" +
-                                    r.body,
-                                now());
+    owner_.writer_->from_client(state_, request.head + request.rpc.body, now());
   }
   bool pass(std::string_view events) override {
     if (!began_) say("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n");
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -8,9 +8,12 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
 
+#include "pcap/reader.h"
+#include "pcap/writer.h"
 #include "stand_ins.h"
 
 namespace flintglade::tests {
@@ -43,16 +46,18 @@
 
 class Program {
  public:
-  Program(const std::string& path, unsigned short discovery, Protocol protocol) {
+  Program(const std::string& path, unsigned short discovery, Protocol protocol, const std::string& sockets,
+          int replayed = 0) {
     char name[] = "/tmp/flintglade-test-XXXXXX";
     if (mkdtemp(name) == nullptr) wrong("no folder for the configuration");
     folder_ = name;
     std::ofstream(folder_ + "/config.json") << "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"discovery\":"
                                             << "\"127.0.0.1:" << discovery << "\",\"seed\":\"8c1f\","
-                                            << "\"limits\":{\"memory_mb\":192,\"sockets\":1024},"
+                                            << "\"limits\":{\"memory_mb\":192,\"sockets\":" << sockets << "},"
                                             << "\"settings\":" << kSettings << "}";
     std::ofstream(folder_ + "/kserve.json")
         << R"({"listen":"127.0.0.1:0","models":[{"name":"shared","versions":["1"]}]})";
+    write_savefile(replayed);
     int pipe[2];
     if (::pipe2(pipe, O_CLOEXEC) != 0) wrong("no pipe");
     pid_ = fork();
@@ -60,6 +65,10 @@
       dup2(pipe[1], STDERR_FILENO);
       setenv("GW_CONFIG", (folder_ + "/config.json").c_str(), 1);
       const std::string file = folder_ + "/kserve.json";
+      if (replayed > 0) {
+        execl(path.c_str(), path.c_str(), "--replay", savefile().c_str(), "--record", record().c_str(),
+              nullptr);
+      }
       if (protocol == Protocol::kserve) {
         execl(path.c_str(), path.c_str(), "--kserve", file.c_str(), nullptr);
       } else {
@@ -83,7 +92,8 @@
       waitpid(pid_, nullptr, 0);
     }
     reader_.join();
-    for (const char* file : {"/config.json", "/kserve.json"}) ::unlink((folder_ + file).c_str());
+    for (const char* file : {"/config.json", "/kserve.json", "/in.pcap", "/out.pcap"})
+      ::unlink((folder_ + file).c_str());
     ::rmdir(folder_.c_str());
   }
   std::string log() {
@@ -105,8 +115,13 @@
     if (at == std::string::npos) wrong("there is no counter " + name);
     return std::atol(all.c_str() + at + name.size() + 2);
   }
+  std::string savefile() const { return folder_ + "/in.pcap"; }
+  std::string record() const { return folder_ + "/out.pcap"; }
   void stop() {
     kill(pid_, SIGTERM);
+    wait_for_exit();
+  }
+  void wait_for_exit() {
     int status = 0;
     until("the exit", [&] { return waitpid(pid_, &status, WNOHANG) == pid_; });
     pid_ = 0;
@@ -114,6 +129,20 @@
   }
 
  private:
+  void write_savefile(int requests) {
+    pcap::Writer writer;
+    if (requests == 0 || !writer.open(savefile()).empty()) return;
+    for (int i = 0; i < requests; ++i) {
+      const auto port = static_cast<std::uint16_t>(40000 + i);
+      const core::Micros at = i * 20 * core::kMilli;
+      auto exchange = writer.begin({{{127, 0, 0, 1}, port}, {{127, 0, 0, 2}, 8000}}, at);
+      writer.from_client(exchange,
+                         "POST /v1/chat/completions HTTP/1.1\r\nX-Trace-Id: " + std::to_string(i) +
+                             "\r\nX-Qos: chat\r\nX-Customer: acme\r\nContent-Length: 2\r\n\r\n{}",
+                         at);
+      writer.end(exchange, true, at);
+    }
+  }
   std::string folder_, log_;
   std::mutex mutex_;
   pid_t pid_ = 0;
@@ -128,15 +157,22 @@
     std::string verb, a, b, c;
     in >> verb;
     if (verb == "list") return list(in);
-    if (verb == "start") return start();
     if (verb == "stop") return program().stop();
+    if (verb == "replay" || verb == "recorded") {
+      int n = 0;
+      in >> n;
+      return verb == "replay" ? replay(n) : recorded(n);
+    }
     in >> a;
+    if (verb == "start") return start(a.empty() ? "1024" : a);
     if (verb == "send") return send(a, in);
     in >> b >> c;
     if (verb == "replica") {
       replicas_[a] = make_replica(protocol_, b, c.empty() ? 1 : std::stoi(c));
     } else if (verb == "discovery" && a == "down") {
       discovery_.down();
+    } else if (verb == "read") {
+      client(a).shy = false;
     } else if (verb == "close") {
       client(a).close();
     } else if (verb == "release") {
@@ -174,8 +210,8 @@
     }
     discovery_.change(entries);
   }
-  void start() {
-    program_ = std::make_unique<Program>(path_, discovery_.port(), protocol_);
+  void start(const std::string& sockets) {
+    program_ = std::make_unique<Program>(path_, discovery_.port(), protocol_, sockets);
     const bool kserve = protocol_ == Protocol::kserve;
     until("the port", [&] {
       front_ = program().port("listens on 127.0.0.1:");
@@ -184,6 +220,21 @@
     });
     until("readiness", [&] { return http_status(front_, "/ready") == 200; });
   }
+  void replay(int requests) {
+    program_ = std::make_unique<Program>(path_, discovery_.port(), protocol_, "1024", requests);
+    program().wait_for_exit();
+  }
+  void recorded(int requests) {
+    pcap::ReadResult got;
+    const std::string error = pcap::read_requests(program().record(), {{"chat"}, {"acme"}, {1}}, got);
+    if (!error.empty()) wrong(error);
+    std::ifstream file(program().record(), std::ios::binary);
+    const std::string bytes(std::istreambuf_iterator<char>(file), {});
+    int whole = 0;
+    for (std::size_t at = 0; (at = bytes.find("HTTP/1.1 200 OK", at)) != std::string::npos; ++at) ++whole;
+    if (static_cast<int>(got.requests.size()) != requests || whole != requests)
+      wrong(std::to_string(got.requests.size()) + " requests, " + std::to_string(whole) + " answers");
+  }
   void send(const std::string& id, std::istringstream& in) {
     Words words;
     for (std::string word; in >> word;) {
@@ -204,6 +255,7 @@
     until(what + " " + name, [&] {
       if (what == "events") return client(name).events >= value;
       if (what == "calls") return replica(name).behaviour.calls >= value;
+      if (what == "least") return program().counter(name) >= value;
       return program().counter(name) == value;
     });
   }
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -6,15 +6,19 @@
 //       stream N    N events, the answer whole       stall N   N events, then silence
 //       break N     N events, then the connection ends
 //       gated       an event now and then until 'release', then the answer is whole
+//       flood N     as stream, with events of 16 KiB
 //       hang        nothing            error    fails       full    turns away: it never ran
 //       refuse      nobody listens
 //   list NAME=STATE ...          discovery's list: ready, draining or gone; further lines are changes
-//   discovery down|up
-//   start                        the program; the next step comes when it is ready
-//   send ID [unary] [class=C] [tenant=T] [model=M] [expires=MS] [body=BYTES] [path=P] [trace=none] [then=ID]
+//   discovery down
+//   start [SOCKETS]              the program; the next step comes when it is ready
+//   replay N                     the program with a savefile of N requests; the next step comes when it has
+//   ended recorded N                   the savefile that it wrote holds N requests, each with a whole answer
+//   send ID [unary] [class=C] [tenant=T] [model=M] [expires=MS] [body=BYTES] [path=P] [trace=none] [shy]
+//   read ID                      a shy client, which has read nothing so far, begins to
 //   close ID                     the client goes away
 //   expect ID served [N] | broken | unavailable | late | failed | invalid | missing | large
-//   wait events ID N | calls NAME N | counter NAME N     until it is so
+//   wait events ID N | calls NAME N | counter NAME N | least NAME N     until it is so
 //   release NAME
 //   stop                         SIGTERM, and a clean exit
 #pragma once
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -59,7 +59,7 @@
       bool began = false;
       // Each event comes in two chunks, cut in its middle: the router has to put it together.
       const auto end = behaviour.play([&](int n) {
-        const std::string event = "data: {\"n\":" + std::to_string(n) + "}\n\n";
+        const std::string event = "data: {\"n\":" + std::to_string(n) + behaviour.padding() + "}\n\n";
         std::string out = began ? "" : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
         began = true;
         return send_all(socket, out + chunk(event.substr(0, 7)) + chunk(event.substr(7)));
@@ -126,7 +126,7 @@
     stream->Read(&request);
     return ending(behaviour.play([&](int n) {
       inference::ModelStreamInferResponse event;
-      event.mutable_infer_response()->set_id(std::to_string(n));
+      event.mutable_infer_response()->set_id(std::to_string(n) + behaviour.padding());
       return stream->Write(event) && !context->IsCancelled();
     }),
                   context);
@@ -150,6 +150,7 @@
 class HttpClient final : public Client {
  public:
   HttpClient(unsigned short port, const std::string& id, Words words) : socket_(io_) {
+    shy = words.count("shy") != 0;
     socket_.connect(loopback(port));
     const std::string body(std::stoul(get(words, "body", "2")), 'x');
     std::string head = "POST " + get(words, "path", "/v1/chat/completions") + " HTTP/1.1\r\nHost: b\r\n";
@@ -165,12 +166,13 @@
     thread_.join();
   }
   void close() override {
+    shy = false;
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_both, ignored);
   }
   std::string verdict() override {
-    while (!done_) std::this_thread::sleep_for(2ms);
-    return verdict_;
+    for (int i = 0; i < 15000 && !done_; ++i) std::this_thread::sleep_for(2ms);
+    return done_ ? verdict_ : "still open";
   }
 
  private:
@@ -180,16 +182,16 @@
     boost::beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.eager(true);
+    parser.body_limit(1u << 30);
     std::string body;
+    while (shy) std::this_thread::sleep_for(2ms);
     while (!parser.is_done() && !ec) {
       buffer.commit(socket_.read_some(buffer.prepare(4096), ec));
       for (error_code more; buffer.size() > 0 && !parser.is_done() && !more;) {
         buffer.consume(parser.put(buffer.data(), more));
       }
       body += std::exchange(parser.get().body(), {});
-      int seen = 0;
-      for (std::size_t at = 0; (at = body.find("\n\n", at)) != std::string::npos; at += 2) ++seen;
-      events = seen;
+      for (std::size_t end; (end = body.find("\n\n")) != std::string::npos; ++events) body.erase(0, end + 2);
     }
     verdict_ = judge(parser);
     done_ = true;
@@ -226,6 +228,7 @@
 class GrpcClient final : public Client {
  public:
   GrpcClient(unsigned short port, const std::string& id, const Words& words) {
+    shy = words.count("shy") != 0;
     stub_ = inference::GRPCInferenceService::NewStub(
         grpc::CreateChannel("ipv4:127.0.0.1:" + std::to_string(port), grpc::InsecureChannelCredentials()));
     context_.AddMetadata(kserve::kClass, get(words, "class", "chat"));
@@ -246,10 +249,13 @@
     close();
     thread_.join();
   }
-  void close() override { context_.TryCancel(); }
+  void close() override {
+    shy = false;
+    context_.TryCancel();
+  }
   std::string verdict() override {
-    while (!done_) std::this_thread::sleep_for(2ms);
-    return verdict_;
+    for (int i = 0; i < 15000 && !done_; ++i) std::this_thread::sleep_for(2ms);
+    return done_ ? verdict_ : "still open";
   }
 
  private:
@@ -264,6 +270,7 @@
     call->Write(request);
     call->WritesDone();
     inference::ModelStreamInferResponse event;
+    while (shy) std::this_thread::sleep_for(2ms);
     while (call->Read(&event)) ++events;
     finish(call->Finish());
   }
@@ -320,7 +327,7 @@
   for (int n = 0; n < events && kind != "hang"; ++n) {
     if (!emit(n)) return End::broken;
   }
-  if (kind == "stream") return End::whole;
+  if (kind == "stream" || kind == "flood") return End::whole;
   if (kind == "break")
     std::this_thread::sleep_for(50ms);  // so that the events are not overtaken by the break
   if (kind != "break") wait_until(stopping, false);
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -21,6 +21,7 @@
 class Behaviour {  // shared by both kinds of replica
  public:
   std::string kind = "stream";
+  std::string padding() const { return kind == "flood" ? std::string(16384, 'p') : ""; }
   int events = 1;
   std::atomic<int> calls = 0;
   std::atomic<bool> released = false;
@@ -79,6 +80,7 @@
 class Client {
  public:
   std::atomic<int> events = 0;
+  std::atomic<bool> shy = false;  // reads nothing for now
   virtual ~Client() = default;
   virtual void close() = 0;
   virtual std::string verdict() = 0;  // waits for the end
