--- a/src/config/labels.cpp
+++ b/src/config/labels.cpp
@@ -26,13 +26,17 @@
 
 }  // namespace
 
+std::uint64_t hash_name(std::string_view name) {
+  std::uint64_t h = 0xcbf29ce484222325ull;
+  for (const char c : name) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ull;
+  return h;
+}
+
 std::uint64_t name_to_key(std::string_view name) {
   std::uint64_t key = 0;
   const auto [at, code] = std::from_chars(name.data(), name.data() + name.size(), key, 16);
   if (code == std::errc() && at == name.data() + name.size()) return key;
-  key = 0xcbf29ce484222325ull;  // FNV-1a
-  for (const char c : name) key = (key ^ static_cast<unsigned char>(c)) * 0x100000001b3ull;
-  return name.empty() ? 0 : key;
+  return name.empty() ? 0 : hash_name(name);
 }
 
 std::string apply(const RequestLabels& request, const Labels& labels, core::RpcRequest& out) {
--- a/src/config/labels.h
+++ b/src/config/labels.h
@@ -22,6 +22,9 @@
       expires_ms{}, again{};
 };
 
+// FNV-1a: the same on every router and after every restart.
+std::uint64_t hash_name(std::string_view name);
+
 // An opaque name to a number: hex where it is hex, else a hash; 0 only for an empty one.
 std::uint64_t name_to_key(std::string_view name);
 
--- a/src/discovery/entries.cpp
+++ b/src/discovery/entries.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "config/labels.h"
+
 namespace flintglade::discovery {
 namespace {
 
@@ -23,11 +25,7 @@
 
 }  // namespace
 
-core::ReplicaId replica_id(std::string_view uid) {  // FNV-1a
-  std::uint64_t h = 0xcbf29ce484222325ull;
-  for (const char c : uid) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ull;
-  return h;
-}
+core::ReplicaId replica_id(std::string_view uid) { return config::hash_name(uid); }
 
 bool parse_list(std::string_view json, const Names& names, core::ListNews& out) {
   const Json root = Json::parse(json, nullptr, false);
--- a/src/http/subchannels.cpp
+++ b/src/http/subchannels.cpp
@@ -53,8 +53,9 @@
     if (!config::parse_host_port(address, to) || (ip = asio::ip::make_address(to.host, ec), ec)) {
       return end(Outcome::connect_failed);
     }
-    socket_.open(ip.is_v6() ? tcp::v6() : tcp::v4(), ec);
-    if (ec == asio::error::no_descriptors && owner_->shed_idle()) socket_.open(tcp::v4(), ec);
+    const tcp protocol = ip.is_v6() ? tcp::v6() : tcp::v4();
+    socket_.open(protocol, ec);
+    if (ec == asio::error::no_descriptors && owner_->shed_idle()) socket_.open(protocol, ec);
     if (ec) return end(Outcome::connect_failed);
     dial_.expires_after(std::chrono::microseconds(owner_->set_.dial_timeout));
     dial_.async_wait([self = shared_from_this()](error_code cancelled) {
--- a/src/kserve/front.cpp
+++ b/src/kserve/front.cpp
@@ -93,7 +93,7 @@
   void unavailable(Micros retry_after, bool late) override {
     rpc_ = 0;
     if (late) return end(Status(StatusCode::DEADLINE_EXCEEDED, "no answer in time"));
-    if (!finished_ && !cancelled_) {
+    if (retry_after > 0 && !finished_ && !cancelled_) {
       context_->AddTrailingMetadata(kPushback, std::to_string(retry_after / core::kMilli));
     }
     end(Status(StatusCode::UNAVAILABLE, "refused: trying again is harmless"));
