Reload the configuration on SIGHUP and move the watch to the new address

Ruled out: an exit of the program's own (it prints a line and counters then; the log ended after 'listens on').

SIGHUP is now taken from the first moment of main. The file is read and checked as at a start; one that can't be used leaves the old in force with one line. discovery (the file's: the environment still holds the address that was given up), drain_grace, grace_to_answer, dial_timeout, conn_idle and the operator's models change live, for both fronts. Watch::move asks the new address for the whole list at once; the list held stays.

Scenario reload.scn, over both wires: fails without the change (the program ends).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -79,6 +79,21 @@
   }
 }
 
+// What of the file takes effect at a start only: all of it but discovery's address, the list, and the times
+// that main hands on when the file is read again.
+std::string fixed_part(Json root) {
+  for (const char* key : {"discovery", "known", "seed"}) root.erase(key);
+  for (const auto& [group, key] :
+       std::initializer_list<std::pair<const char*, const char*>>{{"invariants", "drain_grace"},
+                                                                  {"invariants", "grace_to_answer"},
+                                                                  {"permissions", "dial_timeout"},
+                                                                  {"permissions", "conn_idle"}}) {
+    Json& settings = root["settings"];
+    if (settings.contains(group) && settings[group].is_object()) settings[group].erase(key);
+  }
+  return root.dump();
+}
+
 std::string first(std::initializer_list<std::string> errors) {
   for (const std::string& e : errors) {
     if (!e.empty()) return e;
@@ -135,6 +150,7 @@
   error = pipitcleat::parse_boot_info(lines, out.module);
   if (!error.empty()) return "config: " + error;
   if (out.module.classes.empty()) return "config: settings.classes is missing or empty";
+  out.fixed = fixed_part(root);
   read_names(*settings, "classes", out.classes);
   read_names(*settings, "accounts", out.tenants);
   read_names(*settings, "failure_domains", out.zones);
@@ -145,7 +161,9 @@
                 read_seconds(*settings, "permissions", "conn_idle", out.conn_idle)});
 }
 
-std::string load(Config& out) {
+namespace {
+
+std::string load(Config& out, bool again) {
   const char* path = std::getenv("GW_CONFIG");
   if (path == nullptr || *path == '\0') return "config: GW_CONFIG names no file";
   std::ifstream file(path, std::ios::binary);
@@ -161,11 +179,16 @@
       error = std::string("config: ") + variable + " is not of the form ADDRESS:PORT";
   };
   address("GW_LISTEN", out.listen);
-  address("GW_DISCOVERY", out.discovery);
+  if (!again || out.discovery.host.empty()) address("GW_DISCOVERY", out.discovery);
   if (!error.empty()) return error;
   if (out.listen.host.empty()) return "config: no address to listen on";
   if (out.discovery.host.empty()) return "config: no address of discovery";
   return "";
 }
 
+}  // namespace
+
+std::string load(Config& out) { return load(out, false); }
+std::string reload(Config& out) { return load(out, true); }
+
 }  // namespace flintglade::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -32,11 +32,16 @@
   core::Micros answer_grace = 20 * core::kMilli;
   core::Micros dial_timeout = 150 * core::kMilli;
   core::Micros conn_idle = 5 * core::kSecond;
+  std::string
+      fixed;  // what takes effect at a start only, as text: to tell whether a reload changes any of it
 };
 
 // Reads GW_CONFIG and what GW_NAME, GW_LISTEN and GW_DISCOVERY override. Gives an empty string, or one plain
 // line that says what is wrong.
 std::string load(Config& out);
+// The same for a reload. The file's discovery prevails over GW_DISCOVERY then: the environment is as old as
+// the process and would hold the router to an address that has been given up.
+std::string reload(Config& out);
 // The same from the text of config.json alone.
 std::string parse(std::string_view json, Config& out);
 
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -104,6 +104,12 @@
   return gathered_.empty() ? at : 0;
 }
 
+void Broker::reload(Micros drain_grace, Micros answer_grace) {
+  ++counters_.reloads;
+  set_.drain_grace = drain_grace;
+  set_.answer_grace = answer_grace;
+}
+
 void Broker::drain() {
   if (phase_ == Phase::draining || phase_ == Phase::stopped) return;
   phase_ = Phase::draining;
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -54,6 +54,8 @@
   // ---- phases ----
   Phase phase() const { return phase_; }
   bool ready() const { return phase_ == Phase::serving; }
+  void reload(Micros drain_grace, Micros answer_grace);  // for what happens from now on
+  void reload_refused() { ++counters_.reloads_refused; }
   void drain();            // SIGTERM: finish what is here, and what still comes, then stop
   bool lingering() const;  // draining, and clients may still come
   std::size_t open_rpcs() const { return open_; }
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -25,6 +25,8 @@
   for (std::size_t i = 0; i < kOutcomes.size(); ++i) add(kOutcomes[i], outcomes[i]);
   add("list_news", list_news);
   add("list_failures", list_failures);
+  add("reloads", reloads);
+  add("reloads_refused", reloads_refused);
   add("slow_clients", slow_clients);
   add("turns", turns);
   add("longest_turn_us", longest_turn_us);
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -24,7 +24,9 @@
   std::array<std::uint64_t, 8> outcomes{};  // of call attempts, by pipitcleat::Outcome
   std::uint64_t list_news = 0;
   std::uint64_t list_failures = 0;
-  std::uint64_t slow_clients = 0;  // times an answer was held up by a client that read too slowly
+  std::uint64_t reloads = 0;
+  std::uint64_t reloads_refused = 0;  // the file could not be used: the old configuration stayed in force
+  std::uint64_t slow_clients = 0;     // times an answer was held up by a client that read too slowly
   std::uint64_t turns = 0;
   std::uint64_t longest_turn_us = 0;
 
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -134,6 +134,13 @@
   tell_(std::move(news));
 }
 
+void Watch::move(config::HostPort to) {
+  if (to.host == at_.host && to.port == at_.port) return;
+  at_ = std::move(to);
+  have_list_ = false;  // another service may count its versions otherwise: the whole list is asked for
+  observe(true);
+}
+
 void Watch::observe(bool on) {
   if (session_) {
     session_->stop();
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -20,6 +20,9 @@
   void known(const std::string& json);  // the list as it was last: the watch starts from its version
   // The module asks, and asks again after a failure; the watch never retries by itself.
   void observe(bool on) override;
+  // A reload: discovery is elsewhere from now on. Asks there at once, whether or not the module waits to ask
+  // again; the list held stays in force until the answer.
+  void move(config::HostPort to);
 
  private:
   class Session;
--- a/src/http/subchannels.h
+++ b/src/http/subchannels.h
@@ -30,6 +30,10 @@
             core::Micros patience) override;
   void cancel(core::CallId id) override;
   void pause(core::CallId id, bool paused) override;
+  void reload(core::Micros dial_timeout, core::Micros conn_idle) {
+    set_.dial_timeout = dial_timeout;
+    set_.conn_idle = conn_idle;
+  }
   // Gives a descriptor back: closes the connection that has been idle longest. False: none is idle.
   bool shed_idle();
   std::size_t connections() const { return connections_; }
--- a/src/kserve/front.h
+++ b/src/kserve/front.h
@@ -23,6 +23,7 @@
   ~GrpcFront();
   std::string listen();  // empty, or one line that says what is wrong
   int port() const { return port_; }
+  void reload(std::vector<Model> models) { file_.models = std::move(models); }
   // Ends streams on which no RPC is open; none will come any more.
   void close_idle();
   // Runs the loop until gRPC has let go of every call, at most for a second.
--- a/src/kserve/subchannels.h
+++ b/src/kserve/subchannels.h
@@ -30,6 +30,7 @@
             core::Micros patience) override;
   void cancel(core::CallId id) override;
   void pause(core::CallId id, bool paused) override;
+  void reload(core::Micros dial_timeout) { set_.dial_timeout = dial_timeout; }
   std::size_t unfinished() const { return unfinished_; }  // calls that gRPC has not let go of yet
 
  private:
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -98,6 +98,11 @@
 
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  boost::asio::io_context io(1);
+  // Taken from the first moment on: a signal that comes before the router is up waits until it is, where the
+  // default of SIGHUP would end the process.
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGUSR1);
+  signals.add(SIGHUP);
   Options options;
   config::Config config;
   kserve::OperatorFile operator_file;
@@ -106,7 +111,6 @@
   if (error.empty() && !options.kserve.empty()) error = kserve::load(options.kserve, operator_file);
   if (!error.empty()) return diagnose(error);
 
-  boost::asio::io_context io(1);
   MonotonicClock clock;
   const std::size_t reserved =
       std::min(config.sockets / 2, kSpareDescriptors + (options.kserve.empty() ? 0 : kGrpcDescriptors));
@@ -161,12 +165,33 @@
     std::fprintf(stderr, "flintglade: phase=%s %s\n", core::to_string(broker.phase()),
                  broker.counters().text().c_str());
   };
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGUSR1);
+  // SIGHUP: both files are read again and checked as at the start, and are taken over together or not at all.
+  const auto reload = [&] {
+    config::Config fresh;
+    kserve::OperatorFile fresh_file;
+    std::string wrong = config::reload(fresh);
+    if (wrong.empty() && grpc_front) wrong = kserve::load(options.kserve, fresh_file);
+    if (!wrong.empty()) {
+      broker.reload_refused();
+      diagnose("reload refused, the old configuration stays in force: " + wrong);
+      return;
+    }
+    broker.reload(fresh.drain_grace, fresh.answer_grace);
+    http_subchannels.reload(fresh.dial_timeout, fresh.conn_idle);
+    if (grpc_subchannels) grpc_subchannels->reload(fresh.dial_timeout);
+    if (grpc_front) grpc_front->reload(std::move(fresh_file.models));
+    watch.move(fresh.discovery);
+    std::fprintf(stderr, "flintglade: configuration reloaded, discovery at %s:%u%s\n",
+                 fresh.discovery.host.c_str(), fresh.discovery.port,
+                 fresh.fixed == config.fixed ? "" : "; some of what changed takes effect at the next start");
+  };
   std::function<void(boost::system::error_code, int)> on_signal = [&](boost::system::error_code ec,
                                                                       int signal) {
     if (ec) return;
     if (signal == SIGUSR1) {
       print_counters();
+    } else if (signal == SIGHUP) {
+      reload();
     } else {
       broker.drain();
     }
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -51,10 +51,8 @@
     char name[] = "/tmp/flintglade-test-XXXXXX";
     if (mkdtemp(name) == nullptr) wrong("no folder for the configuration");
     folder_ = name;
-    std::ofstream(folder_ + "/config.json") << "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"discovery\":"
-                                            << "\"127.0.0.1:" << discovery << "\",\"seed\":\"8c1f\","
-                                            << "\"limits\":{\"memory_mb\":192,\"sockets\":" << sockets << "},"
-                                            << "\"settings\":" << kSettings << "}";
+    sockets_ = sockets;
+    configure(discovery);
     std::ofstream(folder_ + "/kserve.json")
         << R"({"listen":"127.0.0.1:0","models":[{"name":"shared","versions":["1"]}]})";
     write_savefile(replayed);
@@ -64,6 +62,7 @@
     if (pid_ == 0) {
       dup2(pipe[1], STDERR_FILENO);
       setenv("GW_CONFIG", (folder_ + "/config.json").c_str(), 1);
+      setenv("GW_DISCOVERY", ("127.0.0.1:" + std::to_string(discovery)).c_str(), 1);
       const std::string file = folder_ + "/kserve.json";
       if (replayed > 0) {
         execl(path.c_str(), path.c_str(), "--replay", savefile().c_str(), "--record", record().c_str(),
@@ -96,6 +95,25 @@
       ::unlink((folder_ + file).c_str());
     ::rmdir(folder_.c_str());
   }
+  void configure(unsigned short discovery) {
+    std::ofstream(folder_ + "/config.json")
+        << "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"discovery\":"
+        << "\"127.0.0.1:" << discovery << "\",\"seed\":\"8c1f\","
+        << "\"limits\":{\"memory_mb\":192,\"sockets\":" << sockets_ << "},"
+        << "\"settings\":" << kSettings << "}";
+  }
+  void reload(bool bad) {
+    if (bad) std::ofstream(folder_ + "/config.json") << "{\"settings\":";
+    kill(pid_, SIGHUP);
+    const char* line = bad ? "reload refused, the old configuration stays in force: config: " : " reloaded";
+    until("the word of the reload", [&] {
+      const std::string all = log();
+      const std::size_t at = all.find(line, seen_);
+      if (at == std::string::npos || all.find('\n', at) == std::string::npos) return false;
+      seen_ = at + 1;
+      return true;
+    });
+  }
   std::string log() {
     const std::lock_guard lock(mutex_);
     return log_;
@@ -143,7 +161,8 @@
       writer.end(exchange, true, at);
     }
   }
-  std::string folder_, log_;
+  std::string folder_, log_, sockets_;
+  std::size_t seen_ = 0;  // of the log, by reload
   std::mutex mutex_;
   pid_t pid_ = 0;
   std::thread reader_;
@@ -167,7 +186,10 @@
     if (verb == "start") return start(a.empty() ? "1024" : a);
     if (verb == "send") return send(a, in);
     in >> b >> c;
-    if (verb == "replica") {
+    if (verb == "reload") {
+      if (a != "bad") program().configure(discovery_.move());
+      program().reload(a == "bad");
+    } else if (verb == "replica") {
       replicas_[a] = make_replica(protocol_, b, c.empty() ? 1 : std::stoi(c));
     } else if (verb == "discovery" && a == "down") {
       discovery_.down();
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -11,6 +11,7 @@
 //       refuse      nobody listens
 //   list NAME=STATE ...          discovery's list: ready, draining or gone; further lines are changes
 //   discovery down
+//   reload [bad]                 SIGHUP; discovery has moved to another address, or the file cannot be read
 //   start [SOCKETS]              the program; the next step comes when it is ready
 //   replay N                     the program with a savefile of N requests; the next step comes when it has
 //   ended recorded N                   the savefile that it wrote holds N requests, each with a whole answer
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -394,6 +394,10 @@
   stopping_ = true;
   if (listener_) listener_->stop();
 }
+unsigned short Discovery::move() {
+  const auto old = std::exchange(listener_, std::make_unique<Listener>([this](tcp::socket& s) { serve(s); }));
+  return port_ = listener_->port();
+}
 void Discovery::change(const std::string& entries) {
   const std::lock_guard lock(mutex_);
   lines_.push_back("{\"rev\":" + std::to_string(lines_.size() + 1) +
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -67,6 +67,7 @@
   unsigned short port() const { return port_; }
   void change(const std::string& entries);  // JSON objects, separated by commas
   void down();
+  unsigned short move();  // to another address; the old one closes what is open
 
  private:
   void serve(boost::asio::ip::tcp::socket& socket);
