Crowded replicas decline further keys; kinds of rough size are told apart by pace

A line a second of the module's view beside the requests on the sockets showed both routers in the hall that holds 3 of the 9 replicas, with 20 to 80 attempts out at each of those and none at the six of the other hall, while health stood at 1.0 and admit at 1.00: streams were late by their token pace, which neither sees. Later admit fell to 0.1 and most requests were refused. own_part_ (refresh) takes traffic to be even over the halls; sizes were 4.0 for all three kinds of machine.

Module: fits() lets a replica with more than 6 of this router's open attempts, and more than 1.5 times the mean for its size, decline keys, so that the rest walks on and, where the hall is too small, crosses. Rough sizes are divided by the pace of their kind, as silent ones were.

Tests: Crowds.* and Kinds.* fail without the change.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -40,6 +40,9 @@
 constexpr double kFleetMemory = 10.0;
 // A replica is an outlier below this part of the mean health; above it, picks are ordinary.
 constexpr double kOutlier = 0.7;
+// A replica is crowded when it has more of this router's attempts for its size than this many times the mean
+// over all ready ones, and more than so many at all; it declines further keys until it has fewer.
+constexpr double kCrowd = 1.5, kCrowdFrom = 6;
 // Second copies and further attempts for each first one, and how many may be saved up.
 constexpr double kRetryRate = 0.2;
 constexpr double kRetrySaved = 10.0;
@@ -79,6 +82,7 @@
   double health_at = 0.0;
   double cold_tokens = 0.0;  // work that the cold start budget still allows
   double cold_at = 0.0;
+  double out = 0.0;  // attempts of this router that are out
   bool ready() const { return worker.health == Health::ready; }
 };
 
@@ -287,7 +291,7 @@
           sizes_[i] = w.size;
           break;
         case WeightSource::rough:
-          sizes_[i] = rough[w.kind].first / rough[w.kind].second;
+          sizes_[i] = rough[w.kind].first / rough[w.kind].second / std::max(0.25, paces_[w.kind].ratio);
           break;
         case WeightSource::live:
           sizes_[i] = live_top_[w.kind];
@@ -321,7 +325,8 @@
   void refresh() {
     if (!stale_ && now_ - refreshed_ < 0.1) return;
     stale_ = false;
-    if (set_.weights == WeightSource::silent && now_ - sized_ > 1.0) size_replicas();
+    const bool by_pace = set_.weights == WeightSource::silent || set_.weights == WeightSource::rough;
+    if (by_pace && now_ - sized_ > 1.0) size_replicas();
     const double since = std::min(now_ - refreshed_, 1e6);
     refreshed_ = now_;
     double healths = 0.0, n = 0.0, own = 0.0, all = 0.0;
@@ -407,9 +412,12 @@
   bool fits(const Request& q, int index, bool strict) {
     if (!may_go_to(q, index)) return false;
     const Replica& r = replicas_[index];
-    if (strict && unit(mix(q.key ^ 0xc01d, r.worker.id)) >= share(r)) return false;
+    if (strict && (crowded(index) || unit(mix(q.key ^ 0xc01d, r.worker.id)) >= share(r))) return false;
     return cold_budget(index, q.work, false);
   }
+  bool crowded(int index) const {
+    return replicas_[index].out > std::max(kCrowdFrom, kCrowd * part(out_, fleet_size_) * sizes_[index]);
+  }
   int pick(const Request& q) {
     refresh();
     if (zone_first_ && unit(mix(q.key, 0x20e)) < own_part_) {
@@ -584,6 +592,8 @@
 
   void send(Request& q, int index) {
     cold_budget(index, q.work, true);
+    replicas_[index].out += 1.0;
+    out_ += 1.0;
     Try t;
     t.replica = index;
     t.sent = now_;
@@ -700,6 +710,8 @@
     Try* t = find_try(r.id, r.attempt, q);
     if (t == nullptr || !t->out) return;
     t->out = false;
+    replicas_[t->replica].out -= 1.0;
+    out_ -= 1.0;
     t->may_have_run =
         r.outcome != Outcome::full && r.outcome != Outcome::connect_failed && r.outcome != Outcome::moot;
     switch (r.outcome) {
@@ -791,7 +803,7 @@
   int list_failures_ = 0;
   bool stale_ = true;
   double refreshed_ = -1e300, mean_health_ = 1.0, fleet_size_ = 0.0, fleet_peak_ = 0.0, ready_ = 0.0,
-         own_part_ = 1.0;
+         own_part_ = 1.0, out_ = 0.0;
   std::unordered_map<RequestId, Request> requests_;  // looked up only, never walked
   std::map<std::uint64_t, Prefix> prefixes_;
   std::vector<Wait> waits_;
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -85,6 +85,7 @@
     const auto sent = of(Action::attempt, id);
     if (sent.empty()) return 0;
     b.on_gone(now, id, *this);  // which says nothing of the replica
+    respond(id, 0, Outcome::cancelled, true);
     return sent[0].worker;
   }
 
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -486,6 +486,7 @@
     s.query(ask(id, 1000003));
     s.respond(id, 0, Outcome::full, false);
     s.b.on_gone(s.now, id, s);
+    s.respond(id, 1, Outcome::cancelled, true);
   }
   for (RequestId id = 100; id < 500; ++id) {  // calm again: nothing is shed
     s.query(ask(id, id));
@@ -583,7 +584,7 @@
 // ---- kinds of machine -------------------------------------------------------------------------------------
 
 TEST(Kinds, SlowOnesGetFewerKeysWhereTheListGivesNoSizes) {
-  for (const WeightSource source : {WeightSource::silent, WeightSource::nominal}) {
+  for (const WeightSource source : {WeightSource::silent, WeightSource::nominal, WeightSource::rough}) {
     Settings set = plain();
     set.weights = source;
     Script s(set);
@@ -608,7 +609,7 @@
     }
     const auto at = placements(s, 400);
     const auto n = std::count_if(at.begin(), at.end(), slow);
-    if (source == WeightSource::silent) {
+    if (source != WeightSource::nominal) {
       EXPECT_LT(n, 110);
     } else {
       EXPECT_NEAR(n, 200, 40);
@@ -616,6 +617,43 @@
   }
 }
 
+// ---- crowds -----------------------------------------------------------------------------------------------
+
+TEST(Crowds, ACrowdedReplicaDeclinesKeysUntilItHasFewer) {
+  Script s(plain());
+  s.list(ListKind::cached, fleet(8));
+  const WorkerId home = s.placed(77);
+  std::map<WorkerId, int> at;
+  for (RequestId id = 1; id <= 60; ++id) {
+    s.query(ask(id, 77));
+    s.accept(id, 0);
+    ++at[s.of(Action::attempt, id)[0].worker];
+  }
+  EXPECT_GE(at[home], 5);
+  EXPECT_LE(at[home], 15);  // of 60; the mean is under 8
+  for (RequestId id = 1; id <= 60; ++id) s.respond(id, 0, Outcome::ok, true);
+  EXPECT_EQ(s.placed(77), home);
+}
+
+TEST(Crowds, AnOwnZoneThatIsTooSmallForItsTrafficSendsTheRestAcross) {
+  Settings set = plain();
+  set.zones = 2;
+  set.zone = 1;
+  set.price_cross_zone = 0.1;
+  Script s(set);
+  auto workers = fleet(9);
+  for (std::size_t i = 0; i < workers.size(); ++i) workers[i].zone = i < 3 ? 1 : 0;
+  s.list(ListKind::cached, workers);
+  int own = 0;
+  for (RequestId id = 1; id <= 180; ++id) {
+    s.query(ask(id, mixed(id)));
+    s.accept(id, 0);
+    own += s.of(Action::attempt, id)[0].worker <= workers[2].id;
+  }
+  EXPECT_GT(own, 60);   // its due by size and more
+  EXPECT_LT(own, 110);  // but not all that a third of the fleet would choke on
+}
+
 // ---- zones ------------------------------------------------------------------------------------------------
 
 TEST(Zones, TheOwnZoneComesFirstWhereCrossingIsDear) {
