Bad clients hear within 3 s, spoilt streams end their attempt, descriptors are shared

Ruled out: CPU (0.06 s in the worst second), the module (refused nothing).

Clients may use what the replicas' side leaves. Both Content-Length and Transfer-Encoding, or an encoding but chunked, get 400 and a close: 'identity' with a length was served before (test). The id of an open RPC gets 409, on gRPC ALREADY_EXISTS. Replicas: 1xx heads were taken for whole answers; chunks over 1 MiB, heads that do not end, text that is no event and answers without a length end the attempt as an error that may have run; connections settle for 3 ms and are looked at before reuse. parse_report gives a whole report or none: an unreadable field was a 0.

--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -56,10 +56,12 @@
 // ----------------------------------------------------------------------------------------------
 
 RpcId Broker::arrived(std::shared_ptr<const RpcRequest> rpc, std::shared_ptr<Channel> channel) {
+  if (!open_ids_.insert(rpc->trace_id).second) return 0;
   const RpcId id = ++last_id_;
   gathered_.push_back(Arrived{id, std::move(rpc), std::move(channel)});
   return id;
 }
+void Broker::call_rejected(CallId id) { gathered_.push_back(Rejected{id}); }
 void Broker::client_gone(RpcId id) { gathered_.push_back(Gone{id}); }
 void Broker::writable(RpcId id) { gathered_.push_back(Writable{id}); }
 void Broker::call_events(CallId id, std::string events) {
@@ -141,6 +143,7 @@
   // on the spot, rather than the process be killed with all it holds.
   if (body_bytes_ + e.request->body.size() > set_.body_budget) {
     ++counters_.overloaded;
+    open_ids_.erase(e.request->trace_id);
     e.channel->unavailable(kSecond, false);
     return;
   }
@@ -184,6 +187,21 @@
   if ((rpc = find(e.id)) != nullptr) drop_if_done(e.id, *rpc);
 }
 
+// A request that a replica cannot use is the client's fault. It says nothing of the replica, whose health
+// would sink under bad clients otherwise, and no other replica is asked.
+void Broker::take(Rejected& e) {
+  Rpc* rpc = nullptr;
+  Call* call = find_out(e.id, rpc);
+  if (call == nullptr) return;
+  if (!rpc->over() && rpc->bound < 0) {
+    ++counters_.failed;
+    ++counters_.rejected;
+    close(*rpc)->fail(Failure::rejected);
+    module_.on_gone(to_seconds(now_), e.id.rpc, *this);
+  }
+  end_call(e.id, *rpc, *call, Outcome::cancelled, 0, {});
+}
+
 void Broker::take(Writable& e) {
   Rpc* rpc = find(e.id);
   if (rpc == nullptr || rpc->over() || !rpc->held_up) return;
@@ -310,6 +328,7 @@
 
 std::shared_ptr<Channel> Broker::close(Rpc& rpc) {
   --open_;
+  open_ids_.erase(rpc.request->trace_id);
   return std::exchange(rpc.channel, nullptr);
 }
 
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -8,6 +8,7 @@
 #include <queue>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -37,6 +38,8 @@
   void attach(Wire wire, Subchannels& subchannels);
 
   // ---- gathered events: kept until the next turn ----
+  // 0, and nothing is taken, if an open RPC has the same trace id: at the replicas the two would pass for
+  // one.
   RpcId arrived(std::shared_ptr<const RpcRequest> rpc, std::shared_ptr<Channel> channel);
   void turned_away() { ++counters_.overloaded; }  // a front had no room for an RPC
   void client_gone(RpcId id);
@@ -44,6 +47,7 @@
   void call_events(CallId id, std::string events);  // whole events; the first ones bind the attempt
   void call_ended(CallId id, pipitcleat::Outcome outcome, std::uint32_t kept = 0,
                   std::vector<float> report = {});
+  void call_rejected(CallId id);  // the replica cannot use the request, nor could another
   void list_news(ListNews news);
 
   // ---- the loop ----
@@ -88,6 +92,9 @@
   struct Gone {
     RpcId id;
   };
+  struct Rejected {
+    CallId id;
+  };
   struct Writable {
     RpcId id;
   };
@@ -101,7 +108,7 @@
     std::uint32_t kept;
     std::vector<float> report;
   };
-  using Event = std::variant<Arrived, Gone, Writable, Events, Ended, ListNews>;
+  using Event = std::variant<Arrived, Gone, Rejected, Writable, Events, Ended, ListNews>;
 
   struct Attempt {
     RpcId id;
@@ -157,6 +164,7 @@
 
   void take(Arrived& e);
   void take(Gone& e);
+  void take(Rejected& e);
   void take(Writable& e);
   void take(Events& e);
   void take(Ended& e);
@@ -196,6 +204,7 @@
   std::size_t open_ = 0;  // RPCs without a final answer
   std::size_t body_bytes_ = 0;
   std::unordered_map<RpcId, Rpc> rpcs_;
+  std::unordered_set<std::string> open_ids_;  // trace ids of the RPCs without a final answer
   std::vector<Event> gathered_;
   std::vector<Action> actions_;
   std::priority_queue<Alarm, std::vector<Alarm>, std::greater<>> alarms_;
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -18,6 +18,7 @@
   add("unavailable", unavailable);
   add("overloaded", overloaded);
   add("failed", failed);
+  add("rejected", rejected);
   add("overdue", overdue);
   add("gone", gone);
   add("calls", calls);
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -17,6 +17,7 @@
   std::uint64_t unavailable = 0;  // refused by the module
   std::uint64_t overloaded = 0;   // refused for lack of memory or descriptors, unseen by the module
   std::uint64_t failed = 0;
+  std::uint64_t rejected = 0;               // of them, because a replica could not use the request
   std::uint64_t overdue = 0;                // answered by the core because the module had not by the deadline
   std::uint64_t gone = 0;                   // clients that went away first
   std::uint64_t calls = 0;                  // call attempts sent
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -49,7 +49,8 @@
 };
 
 // How an RPC that was not served and not refused ended.
-enum class Failure : std::uint8_t { error, deadline };
+// rejected: a replica says that the request itself is at fault, whoever is asked.
+enum class Failure : std::uint8_t { error, deadline, rejected };
 
 // The client's side of one RPC. Exactly one of finish, break_off, unavailable and fail ends it.
 class Channel {
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <cstdio>
@@ -25,12 +26,18 @@
 constexpr std::size_t kRead = 16384;
 // What may wait for a slow client before its replica is no longer read.
 constexpr std::size_t kBacklog = 64u << 10;
-constexpr Micros kIdleClient = 90 * core::kSecond;
-// Idle for less than this, a connection may have a request on its way: it is not the one to close for room.
-constexpr Micros kQuiet = core::kSecond;
-constexpr Micros kHalfRequest = 15 * core::kSecond;  // a request that is still not whole after this long
-constexpr Micros kLinger = 2 * core::kSecond;        // a refused client that still sends
-constexpr Micros kStuckWrite = 30 * core::kSecond;   // a client that reads nothing for this long
+constexpr auto kSweep = std::chrono::milliseconds(100);
+// A connection without an open request is closed after this long where room is short, else after kIdleClient.
+// For less it may have a request on its way, and a first request that we close on has failed.
+constexpr Micros kQuiet = 2100 * core::kMilli;
+constexpr Micros kIdleClient = 60 * core::kSecond;
+// A client that has not sent a whole request this long after it connected gets an error, or a close if it has
+// said nothing: it would hold a descriptor for as long as it likes.
+constexpr Micros kSilent = 2100 * core::kMilli, kFirstRequest = 2500 * core::kMilli;
+constexpr Micros kHalfRequest = 5 * core::kSecond;  // the same for a later request, from its first byte
+constexpr Micros kLinger = 4 * core::kSecond;       // a refused client that still sends
+constexpr std::size_t kLingerRead = 64u << 10;
+constexpr Micros kStuckWrite = 30 * core::kSecond;  // a client that reads nothing for this long
 
 const char* reason(unsigned status) {
   switch (status) {
@@ -42,6 +49,10 @@
       return "Not Found";
     case 405:
       return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 409:
+      return "Conflict";
     case 413:
       return "Payload Too Large";
     case 503:
@@ -60,19 +71,20 @@
   Connection(HttpFront& owner, tcp::socket socket) : owner_(&owner), socket_(std::move(socket)) {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
-    since_ = owner.clock_.now();
+    since_ = connected_ = owner.clock_.now();
     renew();
   }
 
   void read() {
     if (owner_ == nullptr || reading_ || buffer_.size() > kLargestHead) return;
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(kRead),
+    socket_.async_read_some(buffer_.prepare(refused_ ? kLingerRead : kRead),
                             [self = shared_from_this()](error_code ec, std::size_t n) {
                               self->reading_ = false;
                               if (self->owner_ == nullptr) return;
                               if (ec) return self->drop();
                               self->buffer_.commit(n);
+                              // What follows a refused request is not read as another.
                               if (self->refused_) self->buffer_.consume(self->buffer_.size());
                               if (self->rpc_ == 0) self->parse();
                               self->read();  // also while an answer runs: a client that goes away is noticed
@@ -115,8 +127,16 @@
     answered();
   }
   void fail(core::Failure why) override {
-    const bool late = why == core::Failure::deadline;
-    respond(late ? 504 : 500, late ? "no answer in time\n" : "the request failed\n");
+    switch (why) {
+      case core::Failure::deadline:
+        respond(504, "no answer in time\n");
+        break;
+      case core::Failure::rejected:
+        respond(400, "no replica can use this request\n");
+        break;
+      case core::Failure::error:
+        respond(500, "the request failed\n");
+    }
     answered();
   }
 
@@ -126,7 +146,15 @@
     if (writing_ || !out_.empty()) return now - since_ > kStuckWrite;
     if (rpc_ != 0) return false;
     if (lingering_) return now - since_ > kLinger;
-    return now - since_ > (idle() ? kIdleClient : kHalfRequest);
+    if (idle() && asked_) return now - since_ > kIdleClient;
+    if (asked_) return now - since_ > kHalfRequest;
+    return now - connected_ > (half_ ? kFirstRequest : kSilent);
+  }
+  bool quiet(Micros now) const { return idle() && asked_ && now - since_ > kQuiet; }
+  // Its time is up: a client that has begun a request is told, any other sees the end of its connection.
+  void expire() {
+    if (!half_ || refused_ || writing_ || !out_.empty()) return drop();
+    refuse(408, "the request did not come in time\n");
   }
   // Ends the connection; a client whose RPC is still open has gone away.
   void drop() {
@@ -161,16 +189,18 @@
       if (ec == beast_http::error::need_more) {
         if (!parser_->is_done()) return;
       } else if (ec) {
-        close_after_ = refused_ = true;
-        buffer_.consume(buffer_.size());
         const bool large = ec == beast_http::error::body_limit;
-        respond(large ? 413 : 400, large ? "the body is larger than 256 KiB\n" : "not an HTTP request\n");
-        return write();
+        return refuse(large ? 413 : 400,
+                      large ? "the body is larger than 256 KiB\n" : "not an HTTP request\n");
+      }
+      if (parser_->is_header_done() && !framed(parser_->get())) {
+        return refuse(400, "the length of the body is in doubt\n");
       }
       if (!parser_->is_done()) continue;
       if (!parser_->keep_alive()) close_after_ = true;
       Request request = parser_->release();
       renew();
+      asked_ = true;
       handle(std::move(request));
     }
   }
@@ -207,6 +237,28 @@
     if (owner_->over_budget()) close_after_ = true;  // served, but its descriptor is wanted back
     began_ = false;
     rpc_ = owner_->broker_.arrived(std::move(rpc), shared_from_this());
+    if (rpc_ == 0) {
+      respond(409, "a request with this id is open\n");
+      write();
+    }
+  }
+
+  // Where Content-Length and Transfer-Encoding disagree on where a body ends, or an encoding is none that the
+  // parser follows, what one reader takes for a body holds another request for the next reader.
+  static bool framed(const Request& request) {
+    const auto encoding = request[beast_http::field::transfer_encoding];
+    if (request.count(beast_http::field::transfer_encoding) == 0) return true;
+    return request.count(beast_http::field::content_length) == 0 &&
+           boost::beast::iequals(encoding, "chunked");
+  }
+
+  // An error after which nothing on this connection can be trusted.
+  void refuse(unsigned status, const char* why) {
+    close_after_ = refused_ = true;
+    buffer_.consume(buffer_.size());
+    respond(status, why);
+    write();
+    read();
   }
 
   void respond(unsigned status, const std::string& body, const char* extra = "") {
@@ -274,6 +326,8 @@
   std::string out_, sending_;
   core::RpcId rpc_ = 0;  // the RPC that waits for its answer; 0: none
   Micros since_ = 0;     // the last step forward: a request's first byte, or a write
+  Micros connected_ = 0;
+  bool asked_ = false;  // a whole request has come on it
   bool reading_ = false, writing_ = false, began_ = false, held_up_ = false, half_ = false,
        close_after_ = false, refused_ = false, lingering_ = false;
 };
@@ -311,8 +365,8 @@
 void HttpFront::accept() {
   // Past the budget of descriptors a few more are let in, to be told so; beyond them new clients wait in the
   // listener's queue until a connection ends.
-  if (connections_.size() >= set_.most_connections) drop_one_idle();
-  if (connections_.size() >= set_.most_connections + set_.crowd) {
+  if (connections_.size() >= set_.room()) make_room();
+  if (connections_.size() >= set_.room() + set_.crowd) {
     accepting_ = false;
     return;
   }
@@ -338,19 +392,25 @@
   });
 }
 
-bool HttpFront::crowded() const { return over_budget() && broker_.open_rpcs() >= set_.most_connections; }
-bool HttpFront::over_budget() const { return connections_.size() > set_.most_connections; }
+bool HttpFront::crowded() const { return over_budget() && broker_.open_rpcs() >= set_.room(); }
+bool HttpFront::over_budget() const { return connections_.size() > set_.room(); }
 
-void HttpFront::drop_one_idle() {
-  Connection* oldest = nullptr;
-  const Micros quiet_since = clock_.now() - kQuiet;
-  for (const auto& c : connections_) {
-    if (c->idle() && c->since() < quiet_since && (oldest == nullptr || c->since() < oldest->since()))
-      oldest = c.get();
+// Clients may ask once and hold their connection for good: beyond half of the budget, quiet ones go, the
+// longest quiet first.
+void HttpFront::make_room() {
+  const Micros now = clock_.now();
+  const std::size_t enough = set_.room() / 2;
+  if (connections_.size() <= enough) return;
+  std::vector<std::shared_ptr<Connection>> quiet;
+  std::copy_if(connections_.begin(), connections_.end(), std::back_inserter(quiet),
+               [now](const auto& c) { return c->quiet(now); });
+  std::sort(quiet.begin(), quiet.end(), [](const auto& a, const auto& b) { return a->since() < b->since(); });
+  const bool was_accepting = std::exchange(accepting_, true);  // drop() is not to accept meanwhile
+  for (const auto& c : quiet) {
+    if (connections_.size() <= enough) break;
+    c->drop();
   }
-  if (oldest == nullptr) return;
-  accepting_ = true;  // the caller accepts; drop() need not
-  oldest->drop();
+  accepting_ = was_accepting;
 }
 
 void HttpFront::close_idle() {
@@ -365,8 +425,11 @@
   std::vector<std::shared_ptr<Connection>> expired;
   std::copy_if(connections_.begin(), connections_.end(), std::back_inserter(expired),
                [now](const auto& c) { return c->expired(now); });
-  for (const auto& c : expired) c->drop();
-  sweeper_.expires_after(std::chrono::seconds(1));
+  for (const auto& c : expired) c->expire();
+  make_room();
+  // Accepting stops while nobody can be let in; it is looked at here too, not only when a connection ends.
+  if (!accepting_ && acceptor_.is_open()) accept();
+  sweeper_.expires_after(kSweep);
   sweeper_.async_wait([this](error_code ec) {
     if (!ec) sweep();
   });
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -16,8 +16,8 @@
 
 struct FrontSettings {
   config::Labels labels;
-  std::size_t most_connections = 448;
-  std::size_t crowd = 32;  // let in beyond that, only to be told to come again
+  std::function<std::size_t()> room;  // how many connections it may hold at present
+  std::size_t crowd = 32;             // let in beyond that, only to be told to come again
 };
 
 class HttpFront {
@@ -26,6 +26,7 @@
   ~HttpFront();
   std::string listen(const config::HostPort& at);  // empty, or one line that says what is wrong
   std::uint16_t port() const { return port_; }
+  std::size_t connections() const { return connections_.size(); }
   // Called when no descriptor is left: gives one back elsewhere.
   void on_exhausted(std::function<bool()> shed) { shed_ = std::move(shed); }
   void close_idle();  // draining: no RPC will come any more on connections that have none
@@ -37,7 +38,7 @@
   void sweep();
   bool crowded() const;
   bool over_budget() const;
-  void drop_one_idle();
+  void make_room();
 
   boost::asio::io_context& io_;
   core::Broker& broker_;
--- a/src/http/sse.cpp
+++ b/src/http/sse.cpp
@@ -1,18 +1,34 @@
 #include "http/sse.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <utility>
 
 namespace flintglade::http {
 namespace {
 
-// The end of the last whole event: just behind an empty line, whichever of LF and CRLF ends the lines.
-std::size_t last_border(std::string_view text) {
-  std::size_t best = 0;
-  for (const std::string_view mark : {std::string_view("\n\n"), std::string_view("\n\r\n")}) {
-    const std::size_t at = text.rfind(mark);
-    if (at != std::string_view::npos) best = std::max(best, at + mark.size());
+bool is_line(std::string_view line) {
+  static constexpr std::array<std::string_view, 5> kStarts = {"data", ":", "event", "id", "retry"};
+  return std::any_of(kStarts.begin(), kStarts.end(), [line](std::string_view start) {
+    return line.substr(0, start.size()) == start &&
+           (start == ":" || line.size() == start.size() || line[start.size()] == ':');
+  });
+}
+
+// The end of the last whole event: just behind an empty line, whichever of LF and CRLF ends the lines. Stops
+// before the first event with a line that is none.
+std::size_t last_border(std::string_view text, bool& spoilt) {
+  std::size_t best = 0, lines = 0;
+  for (std::size_t from = 0, end; (end = text.find('\n', from)) != std::string_view::npos; from = end + 1) {
+    std::string_view line = text.substr(from, end - from);
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    if (line.empty() ? lines == 0 : !is_line(line)) {
+      spoilt = true;
+      break;
+    }
+    lines = line.empty() ? 0 : lines + 1;
+    if (line.empty()) best = end + 1;
   }
   return best;
 }
@@ -21,7 +37,8 @@
 
 std::string EventStream::feed(std::string_view bytes) {
   partial_.append(bytes);
-  const std::size_t border = last_border(partial_);
+  if (spoilt_) return {};
+  const std::size_t border = last_border(partial_, spoilt_);
   std::string whole = partial_.substr(0, border);
   partial_.erase(0, border);
   read(whole);
@@ -29,6 +46,8 @@
 }
 
 std::string EventStream::rest() {
+  if (!partial_.empty() && !is_line(partial_.substr(0, partial_.find_first_of("\r\n")))) spoilt_ = true;
+  if (spoilt_) return {};
   read(partial_);
   return std::exchange(partial_, {});
 }
@@ -46,11 +65,19 @@
 std::vector<float> parse_report(std::string_view text, const std::vector<std::string>& fields) {
   std::vector<float> report;
   for (const std::string& field : fields) {
-    const std::size_t at = text.find(field + "=");
-    double value = 0.0;
-    if (at != std::string_view::npos) {
-      std::from_chars(text.data() + at + field.size() + 1, text.data() + text.size(), value);
+    double value = -1.0;
+    for (std::size_t from = 0; from < text.size();) {
+      const std::size_t end = std::min(text.find_first_of(", ;\r\n", from), text.size());
+      const std::string_view pair = text.substr(from, end - from);
+      from = end + 1;
+      if (pair.substr(0, field.size()) != field || pair.substr(field.size(), 1) != "=") continue;
+      const auto [at, code] =
+          std::from_chars(pair.data() + field.size() + 1, pair.data() + pair.size(), value);
+      if (code != std::errc() || at != pair.data() + pair.size() || !(value >= 0.0 && value <= 1e12))
+        return {};
     }
+    // A report with a field missing or unreadable is none: a 0 in its place would pass for an idle replica.
+    if (value < 0.0) return {};
     report.push_back(static_cast<float>(value));
   }
   return report;
--- a/src/http/sse.h
+++ b/src/http/sse.h
@@ -15,17 +15,22 @@
   std::string feed(std::string_view bytes);
   // What is left at the end of a whole stream: an event without its empty line.
   std::string rest();
-  bool overlong() const { return partial_.size() > kLongestEvent; }
+  // What came is no event stream: an event without end, or lines that no event has. The bytes of a chunk
+  // whose size was wrong look so; nothing of them may be passed on. feed() gives what stood whole before
+  // them.
+  bool spoilt() const { return spoilt_ || partial_.size() > kLongestEvent; }
   std::uint32_t cached_tokens() const { return cached_tokens_; }
 
  private:
   static constexpr std::size_t kLongestEvent = 256u << 10;
   void read(std::string_view events);
   std::string partial_;
+  bool spoilt_ = false;
   std::uint32_t cached_tokens_ = 0;
 };
 
-// A load report, `TEXT inflight=7, queue=2`: the values of the named fields in their order; empty if none.
+// A load report, `TEXT inflight=7, queue=2`: the values of the named fields in their order; empty
+// unless all are there and can be read, so that the last good one stays in force.
 std::vector<float> parse_report(std::string_view text, const std::vector<std::string>& fields);
 
 }  // namespace flintglade::http
--- a/src/http/subchannels.cpp
+++ b/src/http/subchannels.cpp
@@ -1,9 +1,12 @@
 #include "http/subchannels.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <functional>
 #include <limits>
 #include <optional>
 
@@ -25,6 +28,13 @@
 // would end in a reset, which does not prove that it never ran.
 constexpr Micros kIdleMargin = 700 * core::kMilli;
 constexpr std::size_t kRead = 16384;
+// Events are small. A chunk declared larger than this is not one of them, and would keep coming.
+constexpr std::uint64_t kLargestChunk = 1u << 20;
+// A head comes in one piece with the first token; one that is not whole by now never will be.
+constexpr Micros kHalfHead = core::kSecond;
+// Not reused so soon: a replica that says more than belongs to its answer says it right after, and it would
+// pass for the answer to the next call.
+constexpr Micros kSettle = 3 * core::kMilli;
 }  // namespace
 
 class HttpSubchannels::Connection : public std::enable_shared_from_this<Connection> {
@@ -40,10 +50,16 @@
     expires_ = owner_->clock_.now() + patience;
     busy_ = true;
     written_ = paused_ = began_ = false;
+    head_since_ = core::kNever;
     events_ = {};
+    expect_answer();
+  }
+
+  void expect_answer() {
     parser_.emplace();
     parser_->eager(true);
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser_->on_chunk_header(on_chunk_);
   }
 
   void dial(const std::string& address) {
@@ -112,6 +128,10 @@
     if (!paused) read();
   }
 
+  // Bytes of an answer have come, but its head does not end: the stream is spoilt.
+  bool half_headed(Micros now) const { return busy_ && !paused_ && now - head_since_ > kHalfHead; }
+  void spoil() { end(written_ ? Outcome::error : Outcome::connect_failed); }
+
   // Ends the connection without a word to the core.
   void close() {
     if (owner_ == nullptr) return;
@@ -123,6 +143,11 @@
   }
 
   Micros idle_since() const { return idle_since_; }
+  // Nothing has come in that is not read yet: an end, or what nobody asked for.
+  bool silent() {
+    char byte = 0;
+    return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+  }
 
  private:
   // How a call ends whose connection broke: only what was not written whole is proved never to have run.
@@ -130,17 +155,30 @@
 
   void take(error_code ec) {
     if (!busy_) return retire();  // idle: it has closed, or says what nobody asked for
+    error_code wrong;
     while (buffer_.size() > 0 && !parser_->is_done()) {
-      error_code wrong;
       const std::size_t used = parser_->put(buffer_.data(), wrong);
       buffer_.consume(used);
-      if (wrong == beast_http::error::need_more) break;
-      if (wrong) return broke();
+      if (wrong) break;
+      // 1xx says that the answer is still to come; to the parser it is a whole one.
+      if (parser_->is_done() && parser_->get().result_int() / 100 == 1) {
+        expect_answer();
+        head_since_ = core::kNever;
+      }
+    }
+    if (wrong == beast_http::error::need_more) wrong = {};
+    if (parser_->is_header_done()) {
+      head_since_ = core::kNever;
+    } else if (parser_->got_some() && head_since_ == core::kNever) {
+      head_since_ = owner_->clock_.now();
     }
     if (parser_->is_header_done() && parser_->get().result() == beast_http::status::ok) {
+      // Without a length of its own the end of a stream could not be told from a break.
+      if (parser_->need_eof()) return spoil();
       pass_on(events_.feed(std::exchange(parser_->get().body(), {})));
-      if (events_.overlong()) return broke();
+      if (events_.spoilt()) return spoil();
     }
+    if (wrong) return spoil();
     if (parser_->is_done()) return done();
     if (ec) return broke();
     read();
@@ -158,12 +196,17 @@
     Outcome outcome = Outcome::error;
     if (status == 200) {
       pass_on(events_.rest());
+      if (events_.spoilt()) return spoil();
       outcome = began_ ? Outcome::ok : Outcome::error;  // an answer without an event is none
     } else if ((status == 503 || status == 504) && head["X-Never-Ran"] == "1") {
       outcome = Outcome::full;
     }
     const bool reusable = parser_->keep_alive() && written_ && buffer_.size() == 0;
-    owner_->broker_.call_ended(id_, outcome, events_.cached_tokens());
+    if (status == 400 || status == 413 || status == 422) {
+      owner_->broker_.call_rejected(id_);
+    } else {
+      owner_->broker_.call_ended(id_, outcome, events_.cached_tokens());
+    }
     HttpSubchannels& owner = *owner_;
     owner.calls_.erase(key(id_));
     busy_ = began_ = paused_ = false;
@@ -197,10 +240,16 @@
   std::shared_ptr<const core::RpcRequest> rpc_;
   std::string head_;
   Micros expires_ = 0, idle_since_ = 0;
+  Micros head_since_ = core::kNever;  // the first byte of a head that is not whole yet
   bool busy_ = false, connected_ = false, written_ = false, reading_ = false, paused_ = false, began_ = false;
   boost::beast::flat_buffer buffer_;
   std::optional<beast_http::response_parser<beast_http::string_body>> parser_;
   EventStream events_;
+  // The parser keeps a reference to it.
+  std::function<void(std::uint64_t, boost::beast::string_view, error_code&)> on_chunk_ =
+      [](std::uint64_t size, boost::beast::string_view, error_code& ec) {
+        if (size > kLargestChunk) ec = beast_http::error::bad_chunk;
+      };
 };
 
 HttpSubchannels::HttpSubchannels(asio::io_context& io, core::Broker& broker, core::Clock& clock,
@@ -234,14 +283,17 @@
     return broker_.call_ended(id, Outcome::connect_failed);
   }
   auto& idle = sub->second.idle;
-  if (!idle.empty() && now - idle.back()->idle_since() < keep_for()) {
-    const auto connection = idle.back();
-    idle.pop_back();
+  const auto settled = std::find_if(idle.rbegin(), idle.rend(), [this, now](const auto& c) {
+    return now - c->idle_since() >= kSettle && c->silent();
+  });
+  if (settled != idle.rend() && now - (*settled)->idle_since() < keep_for()) {
+    const auto connection = *settled;
+    idle.erase(std::next(settled).base());
     calls_[key(id)] = connection;
     connection->assign(id, std::move(rpc), patience);
     return connection->send();
   }
-  if (connections_ >= set_.most_connections && !shed_idle()) {
+  if (connections_ >= set_.room() && !shed_idle()) {
     return broker_.call_ended(id, Outcome::connect_failed);
   }
   const auto connection = std::make_shared<Connection>(*this, replica);
@@ -283,6 +335,11 @@
 
 void HttpSubchannels::sweep() {
   const Micros now = clock_.now();
+  std::vector<std::shared_ptr<Connection>> spoilt;
+  for (const auto& [id, connection] : calls_) {
+    if (connection->half_headed(now)) spoilt.push_back(connection);
+  }
+  for (const auto& connection : spoilt) connection->spoil();
   for (auto& [id, sub] : subs_) {
     while (!sub.idle.empty() && now - sub.idle.front()->idle_since() >= keep_for()) {
       sub.idle.front()->close();
--- a/src/http/subchannels.h
+++ b/src/http/subchannels.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -16,7 +17,7 @@
 struct SubchannelSettings {
   core::Micros dial_timeout = 150 * core::kMilli;
   core::Micros conn_idle = 5 * core::kSecond;  // the replica closes a connection idle for this long
-  std::size_t most_connections = 448;
+  std::function<std::size_t()> room;           // how many connections it may hold at present
 };
 
 class HttpSubchannels final : public core::Subchannels {
--- a/src/kserve/front.cpp
+++ b/src/kserve/front.cpp
@@ -100,8 +100,11 @@
   }
   void fail(core::Failure why) override {
     rpc_ = 0;
-    end(why == core::Failure::deadline ? Status(StatusCode::DEADLINE_EXCEEDED, "no answer in time")
-                                       : Status(StatusCode::INTERNAL, "the request failed"));
+    if (why == core::Failure::deadline)
+      return end(Status(StatusCode::DEADLINE_EXCEEDED, "no answer in time"));
+    end(why == core::Failure::rejected
+            ? Status(StatusCode::INVALID_ARGUMENT, "no replica can use this request")
+            : Status(StatusCode::INTERNAL, "the request failed"));
   }
 
   bool idle() const { return rpc_ == 0; }
@@ -154,6 +157,7 @@
     const std::string wrong = label(request, *rpc);
     if (!wrong.empty()) return end(Status(StatusCode::INVALID_ARGUMENT, wrong));
     rpc_ = owner_.broker_.arrived(std::move(rpc), shared_from_this());
+    if (rpc_ == 0) return end(Status(StatusCode::ALREADY_EXISTS, "a request with this id is open"));
     if (streams_) read();  // the next request, or the word that none comes
   }
 
--- a/src/kserve/subchannels.cpp
+++ b/src/kserve/subchannels.cpp
@@ -143,6 +143,8 @@
       outcome = Outcome::reset;
     }
     owner_.calls_.erase(id_);
+    if (!began_ && status.error_code() == grpc::StatusCode::INVALID_ARGUMENT)
+      return owner_.broker_.call_rejected(id_);
     owner_.broker_.call_ended(id_, outcome, kept);
   }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -27,7 +27,10 @@
 
 // Descriptors outside the HTTP pools: the standard streams, the loop's own, listener and discovery, and some
 // spare; and what gRPC is likely to want where its front is on.
-constexpr std::size_t kSpareDescriptors = 64, kGrpcDescriptors = 192;
+constexpr std::size_t kSpareDescriptors = 32, kGrpcDescriptors = 192;
+// The rest is shared by both sides: replicas may always have this part of it, and clients what replicas
+// leave, with some room for calls to come. Clients by the hundreds that say nothing would fill a fixed half.
+constexpr double kReplicaPart = 0.28;
 constexpr int kMostHandlersATurn = 512;
 
 class MonotonicClock final : public core::Clock {
@@ -114,7 +117,9 @@
   MonotonicClock clock;
   const std::size_t reserved =
       std::min(config.sockets / 2, kSpareDescriptors + (options.kserve.empty() ? 0 : kGrpcDescriptors));
-  const std::size_t pool = (config.sockets - reserved) / 2;
+  const std::size_t shared = config.sockets - reserved;
+  const auto replica_part = static_cast<std::size_t>(static_cast<double>(shared) * kReplicaPart);
+  http::HttpFront* front = nullptr;
   discovery::Watch watch(io, config.discovery, {config.zones, config.kinds, unix_to_monotonic(clock)});
   core::BrokerSettings settings;
   settings.drain_grace = config.drain_grace;
@@ -126,10 +131,17 @@
   http::SubchannelSettings http_settings;
   http_settings.dial_timeout = config.dial_timeout;
   http_settings.conn_idle = config.conn_idle;
-  http_settings.most_connections = pool;
+  http_settings.room = [&front, shared, replica_part] {
+    return std::max(replica_part, shared - std::min(shared, front->connections()));
+  };
   http::HttpSubchannels http_subchannels(io, broker, clock, http_settings);
   broker.attach(core::Wire::http, http_subchannels);
-  http::HttpFront http_front(io, broker, clock, {labels(config), pool, reserved / 4});
+  const auto client_room = [&http_subchannels, shared, replica_part] {
+    const std::size_t calls = http_subchannels.connections();
+    return shared - std::min(shared, std::max(replica_part, calls + calls / 8 + 6));
+  };
+  http::HttpFront http_front(io, broker, clock, {labels(config), client_room, reserved / 2});
+  front = &http_front;
   http_front.on_exhausted([&http_subchannels] { return http_subchannels.shed_idle(); });
   error = http_front.listen(config.listen);
   if (!error.empty()) return diagnose(error);
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -44,6 +44,18 @@
   }
 }
 
+std::string unescape(const std::string& text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '\\' && i + 1 < text.size()) {
+      out += text[++i] == 'n' ? '\n' : '\r';
+    } else {
+      out += text[i] == '_' ? ' ' : text[i];
+    }
+  }
+  return out;
+}
+
 class Program {
  public:
   Program(const std::string& path, unsigned short discovery, Protocol protocol, const std::string& sockets,
@@ -186,11 +198,16 @@
     if (verb == "start") return start(a.empty() ? "1024" : a);
     if (verb == "send") return send(a, in);
     in >> b >> c;
+    if (verb == "raw") {
+      clients_[a] = make_raw_client(front_, unescape(b));
+      return;
+    }
     if (verb == "reload") {
       if (a != "bad") program().configure(discovery_.move());
       program().reload(a == "bad");
     } else if (verb == "replica") {
-      replicas_[a] = make_replica(protocol_, b, c.empty() ? 1 : std::stoi(c));
+      replicas_[a] = make_replica(protocol_, b, c.empty() || b == "says" ? 1 : std::stoi(c));
+      if (b == "says") replica(a).behaviour.text = unescape(c);
     } else if (verb == "discovery" && a == "down") {
       discovery_.down();
     } else if (verb == "read") {
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -8,17 +8,21 @@
 //       gated       an event now and then until 'release', then the answer is whole
 //       flood N     as stream, with events of 16 KiB
 //       hang        nothing            error    fails       full    turns away: it never ran
-//       refuse      nobody listens
+//       refuse      nobody listens     reject  cannot use the request
+//       says BYTES  these to its first request over HTTP (\r, \n and _ for a space), then as stream 1
 //   list NAME=STATE ...          discovery's list: ready, draining or gone; further lines are changes
 //   discovery down
 //   reload [bad]                 SIGHUP; discovery has moved to another address, or the file cannot be read
 //   start [SOCKETS]              the program; the next step comes when it is ready
 //   replay N                     the program with a savefile of N requests; the next step comes when it has
 //   ended recorded N                   the savefile that it wrote holds N requests, each with a whole answer
-//   send ID [unary] [class=C] [tenant=T] [model=M] [expires=MS] [body=BYTES] [path=P] [trace=none] [shy]
+//   send ID [unary] [class=C] [tenant=T] [model=M] [expires=MS] [body=BYTES] [path=P] [trace=ID|none] [shy]
+//   raw ID [BYTES]               an HTTP client that sends just these, and is to hear within 4 s
 //   read ID                      a shy client, which has read nothing so far, begins to
 //   close ID                     the client goes away
-//   expect ID served [N] | broken | unavailable | late | failed | invalid | missing | large
+//   expect ID served [N] | broken | unavailable | late | failed | invalid | missing | large | slow |
+//   duplicate |
+//       nothing
 //   wait events ID N | calls NAME N | counter NAME N | least NAME N     until it is so
 //   release NAME
 //   stop                         SIGTERM, and a clean exit
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -56,6 +56,11 @@
       http::request<http::string_body> request;
       http::read(socket, buffer, request, ec);
       if (ec) return;
+      if (!behaviour.text.empty()) {
+        ++behaviour.calls;
+        if (!send_all(socket, std::exchange(behaviour.text, {}))) return;
+        continue;
+      }
       bool began = false;
       // Each event comes in two chunks, cut in its middle: the router has to put it together.
       const auto end = behaviour.play([&](int n) {
@@ -74,6 +79,9 @@
         case Behaviour::End::turned_away:
           if (!send_all(socket, "HTTP/1.1 503 no\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")) return;
           break;
+        case Behaviour::End::rejected:
+          if (!send_all(socket, "HTTP/1.1 400 no\r\nContent-Length: 0\r\n\r\n")) return;
+          break;
         case Behaviour::End::broken:
           return;
       }
@@ -106,6 +114,8 @@
       case Behaviour::End::turned_away:
         context->AddTrailingMetadata(kserve::kNeverRan, "1");
         return {grpc::StatusCode::UNAVAILABLE, "full"};
+      case Behaviour::End::rejected:
+        return {grpc::StatusCode::INVALID_ARGUMENT, "no"};
       case Behaviour::End::broken:
         break;
     }
@@ -154,13 +164,17 @@
     socket_.connect(loopback(port));
     const std::string body(std::stoul(get(words, "body", "2")), 'x');
     std::string head = "POST " + get(words, "path", "/v1/chat/completions") + " HTTP/1.1\r\nHost: b\r\n";
-    if (get(words, "trace", "") != "none") head += "X-Trace-Id: " + id + "\r\n";
+    if (get(words, "trace", "") != "none") head += "X-Trace-Id: " + get(words, "trace", id) + "\r\n";
     head += "X-Qos: " + get(words, "class", "chat") + "\r\nX-Customer: " + get(words, "tenant", "acme") +
             "\r\nX-Object: 7f\r\nX-Expires-In-Ms: " + get(words, "expires", "8000") +
             "\r\nX-Props: prefix=5c,prompt_len=100,prefix_len=80,max_out=50\r\nContent-Length: " +
             std::to_string(body.size()) + "\r\n\r\n";
     thread_ = std::thread([this, request = head + body] { run(request); });
   }
+  HttpClient(unsigned short port, const std::string& bytes) : socket_(io_), patience_(2000) {
+    socket_.connect(loopback(port));
+    thread_ = std::thread([this, bytes] { run(bytes); });
+  }
   ~HttpClient() override {
     close();
     thread_.join();
@@ -171,7 +185,7 @@
     socket_.shutdown(tcp::socket::shutdown_both, ignored);
   }
   std::string verdict() override {
-    for (int i = 0; i < 15000 && !done_; ++i) std::this_thread::sleep_for(2ms);
+    for (int i = 0; i < patience_ && !done_; ++i) std::this_thread::sleep_for(2ms);
     return done_ ? verdict_ : "still open";
   }
 
@@ -212,6 +226,10 @@
         return "invalid";
       case 404:
         return "missing";
+      case 408:
+        return "slow";
+      case 409:
+        return "duplicate";
       case 413:
         return "large";
       default:
@@ -220,6 +238,7 @@
   }
   asio::io_context io_;
   tcp::socket socket_;
+  const int patience_ = 15000;  // of 2 ms
   std::string verdict_;
   std::atomic<bool> done_ = false;
   std::thread thread_;
@@ -239,7 +258,7 @@
     context_.AddMetadata(kserve::kPrefixTokens, "80");
     context_.AddMetadata(kserve::kExpires, get(words, "expires", "8000"));
     inference::ModelInferRequest request;
-    request.set_id(id);
+    request.set_id(get(words, "trace", id));
     request.set_model_name(get(words, "model", "shared"));
     request.add_raw_input_contents(std::string(std::stoul(get(words, "body", "2")), 'x'));
     const bool unary = words.count("unary") != 0;
@@ -295,6 +314,9 @@
       case grpc::StatusCode::NOT_FOUND:
         verdict_ = "missing";
         break;
+      case grpc::StatusCode::ALREADY_EXISTS:
+        verdict_ = "duplicate";
+        break;
       case grpc::StatusCode::RESOURCE_EXHAUSTED:
         verdict_ = "large";
         break;
@@ -322,6 +344,7 @@
     return true;
   };
   if (kind == "error") return End::failed;
+  if (kind == "reject") return End::rejected;
   if (kind == "full") return End::turned_away;
   if (kind == "gated" && !emit(0)) return End::broken;  // one event at least, released or not
   if (kind == "gated") return wait_until(released, true) ? End::whole : End::broken;
@@ -428,6 +451,10 @@
   return std::make_unique<GrpcClient>(port, id, words);
 }
 
+std::unique_ptr<Client> make_raw_client(unsigned short port, const std::string& bytes) {
+  return std::make_unique<HttpClient>(port, bytes);
+}
+
 int http_status(unsigned short port, const std::string& path) {
   asio::io_context io;
   tcp::socket socket(io);
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -20,14 +20,14 @@
 
 class Behaviour {  // shared by both kinds of replica
  public:
-  std::string kind = "stream";
+  std::string kind = "stream", text;
   std::string padding() const { return kind == "flood" ? std::string(16384, 'p') : ""; }
   int events = 1;
   std::atomic<int> calls = 0;
   std::atomic<bool> released = false;
   std::atomic<bool> stopping = false;
 
-  enum class End { whole, broken, failed, turned_away };
+  enum class End { whole, broken, failed, turned_away, rejected };
   // Plays the behaviour; emit gives false once the other side is gone.
   End play(const std::function<bool(int)>& emit);
 };
@@ -88,6 +88,7 @@
 };
 std::unique_ptr<Client> make_client(Protocol protocol, unsigned short port, const std::string& id,
                                     Words words);
+std::unique_ptr<Client> make_raw_client(unsigned short port, const std::string& bytes);
 int http_status(unsigned short port, const std::string& path);  // 0: no answer
 
 }  // namespace flintglade::tests
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -96,11 +96,13 @@
     auto rpc = std::make_shared<core::RpcRequest>();
     rpc->patience = 5 * core::kSecond;
     rpc->body.assign(body, 'x');
+    rpc->trace_id = std::to_string(++sent);
     const auto answer = std::make_shared<Answer>();
     id = broker->arrived(rpc, answer);
     broker->turn();
     return answer;
   }
+  int sent = 0;
   void pass_time(Micros span) {
     for (const Micros end = ports.time + span; ports.time < end; ports.time += 5 * core::kMilli)
       broker->turn();
@@ -245,6 +247,16 @@
   }
 }
 
+void a_report_is_whole_or_none() {
+  const std::vector<std::string> fields = {"inflight", "qps"};
+  CHECK(http::parse_report("TEXT inflight=7, max_inflight=90, qps=1.5", fields) ==
+        (std::vector<float>{7.0F, 1.5F}));
+  CHECK(http::parse_report("TEXT max_inflight=9, qps=2", fields).empty());  // a name inside a longer one
+  for (const char* odd : {"", "TEXT inflight=x, qps=1", "TEXT inflight=7z, qps=1", "TEXT inflight=-3, qps=1",
+                          "TEXT inflight=nan, qps=1", "TEXT qps=1"})
+    CHECK(http::parse_report(odd, fields).empty());
+}
+
 void settings_are_flattened_and_checked() {
   std::string error;
   const std::string lines =
@@ -347,6 +359,7 @@
                                          bodies_are_a_budget,
                                          draining_waits_for_what_is_open,
                                          events_are_whole_whatever_the_chunks,
+                                         a_report_is_whole_or_none,
                                          settings_are_flattened_and_checked,
                                          labels_are_checked,
                                          lists_are_read_and_odd_entries_left_out,
