TLS and mutual TLS on the KServe front and towards replicas, reloaded without a restart

Need: clients and replicas outside one trusted network, and a tenant that nobody else can claim. Change: src/tls reads and checks certificates and keys (dates, match, rights of the key); each handshake takes what is in force, by gRPC's fetcher; SIGHUP and changed files are taken over whole or not at all. A tenant is bound to a name of the client's certificate, and a request that claims another gets PERMISSION_DENIED. gRPC's errors go to our log.

--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -16,6 +16,7 @@
 #include "discovery/watch.h"
 #include "http/front.h"
 #include "http/subchannels.h"
+#include "kserve/credentials.h"
 #include "kserve/front.h"
 #include "kserve/models.h"
 #include "kserve/subchannels.h"
@@ -23,6 +24,7 @@
 #include "membership/sources.h"
 #include "operator/operator_file.h"
 #include "pcap/replay.h"
+#include "tls/keeper.h"
 
 namespace flintglade::commands {
 namespace {
@@ -37,6 +39,7 @@
 // leave, with some room for calls to come. Clients by the hundreds that say nothing would fill a fixed half.
 constexpr double kReplicaPart = 0.28;
 constexpr int kMostHandlersATurn = 512;
+constexpr double kLookEvery = 10.0;  // seconds between looks at certificates
 constexpr std::chrono::seconds kFirstUnready{1}, kTellUnready{30};
 
 config::Labels labels(const config::Config& config) {
@@ -45,6 +48,24 @@
   return out;
 }
 
+// Loads what the file names; again: only keys that are there already.
+std::string load_keys(boost::asio::io_context& io, const deploy::KServe& file,
+                      std::unique_ptr<tls::Keeper>& front, std::unique_ptr<tls::Keeper>& replica,
+                      bool again = false) {
+  const auto load = [&](std::unique_ptr<tls::Keeper>& keys, const char* name, const tls::Files& files,
+                        bool wanted, double every) -> std::string {
+    if (!wanted || (again && !keys)) return "";
+    if (!keys) keys = std::make_unique<tls::Keeper>(io, name);
+    return keys->load(files, every);
+  };
+  const auto every = [](const auto& tls) { return tls.has_look_every_s() ? tls.look_every_s() : kLookEvery; };
+  std::string error = load(front, "front", kserve::front_files(file), file.has_tls(), every(file.tls()));
+  if (error.empty())
+    error = load(replica, "replicas", kserve::replica_files(file), file.has_replica_tls(),
+                 every(file.replica_tls()));
+  return error;
+}
+
 // Waits until something is ready or an alarm is due, runs what is ready, and takes the core through its turn.
 void run(boost::asio::io_context& io, core::Broker& broker, const std::function<void()>& close_idle) {
   bool closed_idle = false;
@@ -135,6 +156,12 @@
               {"wire", "http"},
               {"at", config::host_port(config.listen.host, http_front.port())}});
 
+  std::unique_ptr<tls::Keeper> front_keys, replica_keys;
+  if (file.has_kserve()) {
+    kserve::log_through_ours();
+    error = load_keys(io, file.kserve(), front_keys, replica_keys);
+    if (!error.empty()) return diagnose(error);
+  }
   std::unique_ptr<kserve::GrpcSubchannels> grpc_subchannels;
   std::unique_ptr<kserve::GrpcFront> grpc_front;
   if (file.has_kserve()) {
@@ -142,9 +169,12 @@
     grpc_subchannels = std::make_unique<kserve::GrpcSubchannels>(
         io, broker, clock,
         kserve::SubchannelSettings{config.dial_timeout, kserve_front.replica_port,
-                                   static_cast<Micros>(kserve_front.limits.replica_ping_s * 1e6)});
+                                   static_cast<Micros>(kserve_front.limits.replica_ping_s * 1e6),
+                                   replica_keys.get(), file.kserve().replica_tls().server_name()});
+    if (replica_keys) replica_keys->on_change([&grpc_subchannels] { grpc_subchannels->renew(); });
     broker.attach(core::Wire::kserve, *grpc_subchannels);
-    grpc_front = std::make_unique<kserve::GrpcFront>(io, broker, kserve_front, labels(config), config.name);
+    grpc_front = std::make_unique<kserve::GrpcFront>(io, broker, kserve_front, labels(config), config.name,
+                                                     front_keys.get());
     error = grpc_front->listen();
     if (!error.empty()) return diagnose(error);
     log::event(Level::info, "listening",
@@ -177,6 +207,18 @@
       fields.emplace_back("kserve_open_calls", grpc_front->open_calls());
       fields.emplace_back("kserve_streams_refused", grpc_front->counters().streams_refused);
       fields.emplace_back("kserve_silent_calls", grpc_front->counters().silent_calls);
+      fields.emplace_back("kserve_denied", grpc_front->counters().denied);
+    }
+    for (const auto& [of, keys] :
+         {std::pair{"front", front_keys.get()}, std::pair{"replica", replica_keys.get()}}) {
+      if (keys == nullptr) continue;
+      fields.emplace_back(of == std::string_view("front") ? "tls_front_taken" : "tls_replica_taken",
+                          keys->counters().taken);
+      fields.emplace_back(of == std::string_view("front") ? "tls_front_refused" : "tls_replica_refused",
+                          keys->counters().refused);
+      fields.emplace_back(
+          of == std::string_view("front") ? "tls_front_expires_in_s" : "tls_replica_expires_in_s",
+          keys->expires_in_s());
     }
     std::vector<std::pair<std::string, std::uint64_t>> of_sources;
     if (sources) of_sources = sources->counters();
@@ -194,6 +236,11 @@
     std::vector<membership::SourceSpec> fresh_specs;
     if (wrong.empty())
       fresh_specs = membership::sources(fresh_file.membership(), fresh.zones, fresh.kinds, wrong);
+    // Whether there is TLS at all takes a start; with what keys does not.
+    if (wrong.empty() && front_keys && fresh_file.kserve().has_tls())
+      wrong = tls::Keeper::try_out(kserve::front_files(fresh_file.kserve()));
+    if (wrong.empty() && replica_keys && fresh_file.kserve().has_replica_tls())
+      wrong = tls::Keeper::try_out(kserve::replica_files(fresh_file.kserve()));
     if (!wrong.empty()) {
       broker.reload_refused();
       log::event(Level::warn, "reload_refused", {{"why", wrong}, {"in_force", "the old configuration"}});
@@ -204,6 +251,7 @@
     if (grpc_subchannels) grpc_subchannels->reload(fresh.dial_timeout);
     if (grpc_front && fresh_file.has_kserve())
       grpc_front->reload(kserve::front_settings(fresh_file.kserve()));
+    if (fresh_file.has_kserve()) load_keys(io, fresh_file.kserve(), front_keys, replica_keys, true);
     if (sources && fresh_file.has_membership())
       sources->reload(fresh_file.membership(), std::move(fresh_specs));
     watch.move(fresh.discovery);
--- /dev/null
+++ b/src/kserve/credentials.h
@@ -0,0 +1,26 @@
+// gRPC's own credentials, from material that may change while the server runs.
+#pragma once
+
+#include <grpcpp/security/credentials.h>
+#include <grpcpp/security/server_credentials.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tls/keeper.h"
+
+namespace flintglade::kserve {
+
+// Each handshake takes what the keeper has in force then; connections that are up keep what they began with.
+// With clients_need_one, a client without a certificate by one of the roots is refused in its handshake.
+// The keeper must outlive the server.
+std::shared_ptr<grpc::ServerCredentials> server_credentials(const tls::Keeper& keeper, bool clients_need_one);
+
+// For channels opened from now on.
+std::shared_ptr<grpc::ChannelCredentials> channel_credentials(const tls::Keeper& keeper);
+
+// gRPC tells of handshakes that failed by its own log only. From here on its errors are events of ours.
+void log_through_ours();
+
+}  // namespace flintglade::kserve
--- a/src/kserve/front.cpp
+++ b/src/kserve/front.cpp
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "kserve/check.h"
+#include "kserve/credentials.h"
 #include "kserve/mapping.h"
 #include "kserve/names.h"
 #include "kserve_v2.grpc.pb.h"
@@ -230,7 +231,12 @@
     };
     const Model* model = owner_.file_.find(request.model_name(), request.model_version());
     if (model == nullptr) return refuse(StatusCode::NOT_FOUND, "the model is unknown");
-    std::string wrong = label(request, *model, *rpc);
+    std::string denied;
+    std::string wrong = label(request, *model, *rpc, denied);
+    if (!denied.empty()) {
+      ++owner_.counters_.denied;
+      return refuse(StatusCode::PERMISSION_DENIED, denied);
+    }
     if (wrong.empty() && owner_.file_.check_tensors) wrong = check_tensors(request, *model);
     if (!wrong.empty()) return refuse(StatusCode::INVALID_ARGUMENT, wrong);
     const auto exchange = std::make_shared<Exchange>(*this, request.id(), request.model_name());
@@ -239,11 +245,16 @@
     open_.insert(exchange);
   }
 
-  std::string label(const inference::ModelInferRequest& request, const Model& model, core::RpcRequest& rpc) {
+  std::string label(const inference::ModelInferRequest& request, const Model& model, core::RpcRequest& rpc,
+                    std::string& denied) {
     const auto& said = context_->client_metadata();
-    const Mapped mapped = map_request(request, model, owner_.file_.mapping, [&said](const std::string& name) {
-      return find_metadata(said, name.c_str());
-    });
+    const Bound* bound = owner_.file_.bound.empty() ? nullptr : find_bound(owner_.file_.bound, names());
+    if (bound == nullptr && owner_.file_.bound_only) denied = "the client's certificate speaks for no tenant";
+    const Mapped mapped = map_request(
+        request, model, owner_.file_.mapping,
+        [&said](const std::string& name) { return find_metadata(said, name.c_str()); }, bound);
+    if (denied.empty()) denied = mapped.denied;
+    if (!denied.empty()) return "";
     const std::string wrong = config::apply(mapped.labels(), owner_.labels_, rpc);
     if (!wrong.empty()) return wrong;
     rpc.wire = core::Wire::kserve;
@@ -271,6 +282,16 @@
     return "";
   }
 
+  // The subject alternative names of the client's certificate.
+  std::vector<std::string> names() const {
+    std::vector<std::string> out;
+    const auto about = context_->auth_context();
+    if (!about || !about->IsPeerAuthenticated()) return out;
+    for (const auto& san : about->FindPropertyValues(GRPC_X509_SAN_PROPERTY_NAME))
+      out.emplace_back(san.data(), san.size());
+    return out;
+  }
+
   void write() {
     if (writing_ || out_.empty() || finished_ || cancelled_) return;
     writing_ = true;
@@ -436,12 +457,13 @@
 };
 
 GrpcFront::GrpcFront(boost::asio::io_context& io, core::Broker& broker, FrontSettings file,
-                     config::Labels labels, std::string name)
+                     config::Labels labels, std::string name, const tls::Keeper* keys)
     : io_(io),
       broker_(broker),
       file_(std::move(file)),
       labels_(std::move(labels)),
       name_(std::move(name)),
+      keys_(keys),
       health_(io) {}
 
 GrpcFront::~GrpcFront() { stop(); }
@@ -454,7 +476,10 @@
   if (file_.reflection) grpc::reflection::InitProtoReflectionServerBuilderPlugin();
   grpc::ServerBuilder builder;
   const std::string at = config::host_port(file_.listen.host, file_.listen.port);
-  builder.AddListeningPort(at, grpc::InsecureServerCredentials(), &port_);
+  // The server's handshakes ask the credentials for keys as long as it runs; the builder lets go of them.
+  credentials_ = keys_ == nullptr ? grpc::InsecureServerCredentials()
+                                  : server_credentials(*keys_, !keys_->current().roots.empty());
+  builder.AddListeningPort(at, credentials_, &port_);
   builder.SetMaxReceiveMessageSize(kLargestMessage);
   const Limits& limits = file_.limits;
   const auto millis = [](double seconds) { return static_cast<int>(seconds * 1e3); };
--- a/src/kserve/front.h
+++ b/src/kserve/front.h
@@ -2,6 +2,7 @@
 // post to the loop; the RPCs live there.
 #pragma once
 
+#include <grpcpp/security/server_credentials.h>
 #include <grpcpp/server.h>
 
 #include <atomic>
@@ -14,13 +15,15 @@
 #include "config/labels.h"
 #include "core/broker.h"
 #include "kserve/models.h"
+#include "tls/keeper.h"
 
 namespace flintglade::kserve {
 
 class GrpcFront {
  public:
+  // keys: of the server; null: it speaks without encryption.
   GrpcFront(boost::asio::io_context& io, core::Broker& broker, FrontSettings file, config::Labels labels,
-            std::string name);
+            std::string name, const tls::Keeper* keys = nullptr);
   ~GrpcFront();
   std::string listen();  // empty, or one line that says what is wrong
   int port() const { return port_; }
@@ -29,6 +32,7 @@
   struct Counters {
     std::uint64_t streams_refused = 0;  // too many were open
     std::uint64_t silent_calls = 0;     // no request came in time
+    std::uint64_t denied = 0;           // a certificate spoke for another tenant, or for none
   };
   const Counters& counters() const { return counters_; }
   std::size_t open_calls() const { return calls_.size(); }
@@ -49,9 +53,11 @@
   FrontSettings file_;
   config::Labels labels_;
   std::string name_;
+  const tls::Keeper* keys_;
   std::set<std::shared_ptr<Call>> calls_;
   std::unique_ptr<Standard> standard_;
   std::unique_ptr<Infer> infer_;
+  std::shared_ptr<grpc::ServerCredentials> credentials_;
   std::unique_ptr<grpc::Server> server_;
   int port_ = 0;
   bool closing_ = false;
--- a/src/kserve/mapping.cpp
+++ b/src/kserve/mapping.cpp
@@ -37,7 +37,8 @@
 }
 
 std::string find(const MappedField& field, const char* own, const inference::ModelInferRequest& request,
-                 const std::string& of_model, const FindMetadata& metadata) {
+                 const std::string& of_model, const FindMetadata& metadata,
+                 const std::string& of_certificate = "") {
   // Our own metadata says what it means: no table stands between.
   if (own != nullptr) {
     if (const std::string_view said = metadata(own); !said.empty()) return std::string(said);
@@ -51,6 +52,7 @@
     if (it == request.parameters().end()) continue;
     if (std::string said = text(it->second); !said.empty()) return translated(field, std::move(said));
   }
+  if (!of_certificate.empty()) return of_certificate;
   return of_model.empty() ? field.otherwise : of_model;
 }
 
@@ -86,10 +88,14 @@
 }
 
 Mapped map_request(const inference::ModelInferRequest& request, const Model& model, const Mapping& m,
-                   const FindMetadata& metadata) {
+                   const FindMetadata& metadata, const Bound* bound) {
+  static const Bound kNone;
+  const Bound& by_certificate = bound == nullptr ? kNone : *bound;
   Mapped out;
-  out.klass = find(m.klass, kClass, request, model.klass, metadata);
-  out.tenant = find(m.tenant, kTenant, request, model.tenant, metadata);
+  out.klass = find(m.klass, kClass, request, model.klass, metadata, by_certificate.klass);
+  out.tenant = find(m.tenant, kTenant, request, model.tenant, metadata, by_certificate.tenant);
+  if (bound != nullptr && out.tenant != bound->tenant)
+    out.denied = "the client's certificate does not speak for this tenant";
   out.session = find(m.session, kSession, request, "", metadata);
   out.prefix = find(m.prefix, kPrefix, request, "", metadata);
   out.prompt_tokens = find(m.prompt_tokens, kPromptTokens, request, "", metadata);
@@ -105,6 +111,18 @@
   return out;
 }
 
+const Bound* find_bound(const std::vector<Bound>& bound, const std::vector<std::string>& sans) {
+  const auto meets = [&sans](const Bound& b) {
+    const bool any_rest = b.san.ends_with('*');
+    const std::string_view begin = std::string_view(b.san).substr(0, b.san.size() - any_rest);
+    return std::any_of(sans.begin(), sans.end(), [&](const std::string& san) {
+      return any_rest ? san.starts_with(begin) : san == begin;
+    });
+  };
+  const auto it = std::find_if(bound.begin(), bound.end(), meets);
+  return it == bound.end() ? nullptr : &*it;
+}
+
 std::string describe(const Mapping& m) {
   std::string out;
   const auto line = [&out](const char* name, const MappedField& f, const char* own, const char* last) {
@@ -112,6 +130,7 @@
     if (own != nullptr) out += std::string("metadata ") + own;
     for (const std::string& s : f.metadata) out += ", metadata " + s;
     for (const std::string& s : f.parameters) out += ", parameter " + s;
+    if (own == kClass || own == kTenant) out += ", certificate";
     out += std::string(", ") + (f.otherwise.empty() ? last : "else '" + f.otherwise + "'") + "\n";
   };
   line("class", m.klass, kClass, "the model's, else refused");
--- a/src/kserve/models.cpp
+++ b/src/kserve/models.cpp
@@ -59,7 +59,18 @@
   if (l.has_least_ping_s()) out.limits.least_ping_s = l.least_ping_s();
   if (l.has_replica_ping_s()) out.limits.replica_ping_s = l.replica_ping_s();
   if (file.has_stream_requests()) out.stream_requests = file.stream_requests();
+  out.tls = file.has_tls();
+  out.bound_only = file.tls().bound_only();
+  for (const deploy::Bound& b : file.tls().bound()) out.bound.push_back({b.san(), b.tenant(), b.class_()});
   return out;
 }
 
+tls::Files front_files(const deploy::KServe& file) {
+  return {file.tls().certificate(), file.tls().key(), file.tls().client_ca()};
+}
+tls::Files replica_files(const deploy::KServe& file) {
+  const deploy::ReplicaTls& r = file.replica_tls();
+  return {r.certificate(), r.key(), r.ca()};
+}
+
 }  // namespace flintglade::kserve
--- a/src/kserve/models.h
+++ b/src/kserve/models.h
@@ -9,6 +9,7 @@
 
 #include "config/config.h"
 #include "operator.pb.h"
+#include "tls/material.h"
 
 namespace flintglade::kserve {
 
@@ -34,6 +35,9 @@
   std::size_t streams = 2048, streams_per_connection = 256, transport_mb = 32;
   double first_request_s = 5.0, connection_age_s = 0.0, least_ping_s = 5.0, replica_ping_s = 0.0;
 };
+struct Bound {  // a certificate with this name speaks for this tenant
+  std::string san, tenant, klass;
+};
 struct FrontSettings {
   config::HostPort listen;
   // Where replicas speak gRPC: this port at the address that discovery gives; 0: the very endpoint.
@@ -43,11 +47,15 @@
   bool reflection = false, check_tensors = false, pass_metadata = false, errors_in_band = false;
   std::size_t stream_requests = 16;
   Limits limits;
+  bool tls = false, bound_only = false;
+  std::vector<Bound> bound;
 
   const Model* find(std::string_view name, std::string_view version) const;
 };
 
 // Of a file that operator_file::parse has checked.
+tls::Files front_files(const deploy::KServe& file);
+tls::Files replica_files(const deploy::KServe& file);
 FrontSettings front_settings(const deploy::KServe& file);
 
 }  // namespace flintglade::kserve
--- a/src/kserve/subchannels.cpp
+++ b/src/kserve/subchannels.cpp
@@ -9,8 +9,10 @@
 #include <utility>
 
 #include "config/config.h"
+#include "kserve/credentials.h"
 #include "kserve/names.h"
 #include "kserve_v2.pb.h"
+#include "log/log.h"
 
 namespace flintglade::kserve {
 
@@ -23,7 +25,8 @@
 
 // gRPC may not send anything again by itself (each arrival at a replica is an attempt), nor wait long before
 // it connects anew, nor look for a proxy.
-std::shared_ptr<grpc::Channel> open_channel(const std::string& target, Micros ping) {
+std::shared_ptr<grpc::Channel> open_channel(const std::string& target, const std::string& host,
+                                            const SubchannelSettings& set) {
   grpc::ChannelArguments args;
   args.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
   args.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
@@ -31,13 +34,15 @@
   args.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1000);
   args.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
   args.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-  if (ping > 0) {
-    args.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, static_cast<int>(ping / core::kMilli));
+  if (set.ping > 0) {
+    args.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, static_cast<int>(set.ping / core::kMilli));
     args.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kPingTimeout);
     args.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);  // as long as the call is open
   }
   args.SetMaxReceiveMessageSize(kLargestMessage);
-  return grpc::CreateCustomChannel(target, grpc::InsecureChannelCredentials(), args);
+  if (set.keys == nullptr) return grpc::CreateCustomChannel(target, grpc::InsecureChannelCredentials(), args);
+  args.SetSslTargetNameOverride(set.server_name.empty() ? host : set.server_name);
+  return grpc::CreateCustomChannel(target, channel_credentials(*set.keys), args);
 }
 
 }  // namespace
@@ -147,6 +152,8 @@
       outcome = Outcome::full;
     } else if (!written_) {
       outcome = Outcome::connect_failed;  // the request was never handed to a connection
+      if (owner_.set_.keys != nullptr)
+        log::event(log::Level::warn, "replica_unreachable", {{"why", status.error_message()}});
     } else if (status.error_code() == grpc::StatusCode::UNAVAILABLE) {
       outcome = Outcome::reset;
     }
@@ -171,7 +178,7 @@
 
 GrpcSubchannels::GrpcSubchannels(boost::asio::io_context& io, core::Broker& broker, core::Clock& clock,
                                  SubchannelSettings settings)
-    : io_(io), broker_(broker), clock_(clock), set_(settings) {}
+    : io_(io), broker_(broker), clock_(clock), set_(std::move(settings)) {}
 GrpcSubchannels::~GrpcSubchannels() = default;
 
 void GrpcSubchannels::update(const core::Endpoint& endpoint, Micros no_new_after) {
@@ -184,6 +191,10 @@
   if (endpoint.replica.health == pipitcleat::Health::gone) sub.channel.reset();  // calls under way keep it
 }
 
+void GrpcSubchannels::renew() {
+  for (auto& [id, sub] : subs_) sub.channel.reset();
+}
+
 void GrpcSubchannels::call(core::CallId id, core::ReplicaId replica,
                            std::shared_ptr<const core::RpcRequest> rpc, Micros patience) {
   const auto it = subs_.find(replica);
@@ -198,7 +209,7 @@
     const std::string port = std::to_string(set_.replica_port != 0 ? set_.replica_port : at.port);
     const bool v6 = at.host.find(':') != std::string::npos;
     sub.channel =
-        open_channel(v6 ? "ipv6:[" + at.host + "]:" + port : "ipv4:" + at.host + ":" + port, set_.ping);
+        open_channel(v6 ? "ipv6:[" + at.host + "]:" + port : "ipv4:" + at.host + ":" + port, at.host, set_);
   }
   const auto call = std::make_shared<Call>(*this, id, std::move(rpc), patience);
   calls_[id] = call;
--- a/src/kserve/subchannels.h
+++ b/src/kserve/subchannels.h
@@ -11,13 +11,16 @@
 
 #include "core/broker.h"
 #include "core/ports.h"
+#include "tls/keeper.h"
 
 namespace flintglade::kserve {
 
 struct SubchannelSettings {
   core::Micros dial_timeout = 150 * core::kMilli;
-  std::uint16_t replica_port = 0;  // 0: replicas speak gRPC at the very endpoint that discovery gives
-  core::Micros ping = 0;           // HTTP/2 keep-alive while a call is open; 0: none
+  std::uint16_t replica_port = 0;     // 0: replicas speak gRPC at the very endpoint that discovery gives
+  core::Micros ping = 0;              // HTTP/2 keep-alive while a call is open; 0: none
+  const tls::Keeper* keys = nullptr;  // null: without encryption
+  std::string server_name;            // which certificates must have; empty: the replica's address
 };
 
 class GrpcSubchannels final : public core::Subchannels {
@@ -32,6 +35,8 @@
   void cancel(core::CallId id) override;
   void pause(core::CallId id, bool paused) override;
   void reload(core::Micros dial_timeout) { set_.dial_timeout = dial_timeout; }
+  // Calls from now on go over new connections, by the keys in force; those under way keep theirs.
+  void renew();
   std::size_t unfinished() const { return unfinished_; }  // calls that gRPC has not let go of yet
 
  private:
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -124,6 +124,28 @@
   return "";
 }
 
+std::string check(const deploy::Tls& tls, const Place& at) {
+  if (tls.certificate().empty()) return at.wrong("certificate: there is none");
+  if (tls.key().empty()) return at.wrong("key: there is none");
+  if (tls.client_ca().empty() && (tls.bound_size() > 0 || tls.bound_only()))
+    return at.wrong("client_ca: tenants are bound to certificates, and none is asked for");
+  for (int i = 0; i < tls.bound_size(); ++i) {
+    const Place here = at.in("bound", i);
+    if (tls.bound(i).san().empty()) return here.wrong("san: there is none");
+    if (tls.bound(i).tenant().empty()) return here.wrong("tenant: there is none");
+    if (tls.bound(i).san().find('*') < tls.bound(i).san().size() - 1)
+      return here.in("san").wrong("'*' stands at the end or not at all");
+  }
+  return numbers(tls, at, {{"look_every_s", 0, 86400}});
+}
+
+std::string check(const deploy::ReplicaTls& tls, const Place& at) {
+  if (tls.ca().empty()) return at.wrong("ca: there is none, and replicas could be anybody");
+  if (tls.certificate().empty() != tls.key().empty())
+    return at.wrong("certificate and key: there is one without the other");
+  return numbers(tls, at, {{"look_every_s", 0, 86400}});
+}
+
 std::string check(const deploy::KServe& kserve, const Place& at) {
   if (!is_host_port(kserve.listen())) return at.in("listen").wrong("not of the form ADDRESS:PORT");
   if (kserve.replica_port() > 65535) return at.in("replica_port").wrong("not a port");
@@ -137,6 +159,8 @@
                      {"connection_age_s", 0, 604800},
                      {"least_ping_s", 0.01, 3600},
                      {"replica_ping_s", 0, 3600}});
+  if (error.empty() && kserve.has_tls()) error = check(kserve.tls(), at.in("tls"));
+  if (error.empty() && kserve.has_replica_tls()) error = check(kserve.replica_tls(), at.in("replica_tls"));
   if (!error.empty()) return error;
   if (kserve.models().empty()) return at.wrong("models: there is none");
   std::set<std::string> names;
@@ -275,6 +299,17 @@
     fixed.mutable_kserve()->clear_pass_metadata();
     fixed.mutable_kserve()->clear_errors_in_band();
     fixed.mutable_kserve()->clear_stream_requests();
+    // Certificates are read anew; whether there are any does not change, nor whether clients need one.
+    if (fixed.kserve().has_tls()) {
+      deploy::Tls kept;
+      if (!fixed.kserve().tls().client_ca().empty()) kept.set_client_ca("set");
+      *fixed.mutable_kserve()->mutable_tls() = kept;
+    }
+    if (fixed.kserve().has_replica_tls()) {
+      deploy::ReplicaTls kept;
+      kept.set_server_name(fixed.kserve().replica_tls().server_name());
+      *fixed.mutable_kserve()->mutable_replica_tls() = kept;
+    }
   }
   if (fixed.has_membership()) {
     // Sources, resolver and rule change live; whether there is a membership at all, and its slots, do not.
@@ -291,6 +326,14 @@
     out += "kserve: listens on " + file.kserve().listen() + ", models:";
     for (const auto& model : file.kserve().models()) out += " " + model.name();
     out += "\n";
+    const auto& tls = file.kserve().tls();
+    if (file.kserve().has_tls())
+      out += "kserve: TLS with " + tls.certificate() +
+             (tls.client_ca().empty() ? "" : ", clients by " + tls.client_ca()) + "\n";
+    for (const auto& bound : tls.bound())
+      out += "kserve: " + bound.san() + " is tenant " + bound.tenant() + "\n";
+    if (file.kserve().has_replica_tls())
+      out += "kserve: replicas by " + file.kserve().replica_tls().ca() + "\n";
   } else {
     out += "kserve: off\n";
   }
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -8,11 +8,13 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <sstream>
 #include <stdexcept>
 
+#include "certs.h"
 #include "dns_server.h"
 #include "pcap/reader.h"
 #include "pcap/writer.h"
@@ -135,10 +137,28 @@
         << "\"limits\":{\"memory_mb\":192,\"sockets\":" << sockets_ << "},"
         << "\"settings\":" << kSettings << "}";
   }
-  void reload(bool bad) {
-    if (bad) std::ofstream(folder_ + "/config.json") << "{\"settings\":";
+  void kserve(const std::string& more) { more_ = more; }
+  // It is to end by itself, with status 1 and one line that has these words.
+  void fails(const std::string& words) {
+    int status = 0;
+    until("the exit", [&] { return waitpid(pid_, &status, WNOHANG) == pid_; });
+    pid_ = 0;
+    until("a line", [&] { return log().find('\n') != std::string::npos; });
+    std::string all = log(), last;
+    std::istringstream lines(all);
+    int plain = 0;
+    for (std::string line; std::getline(lines, line);) {
+      if (line.rfind("flintglade: ", 0) == 0 && ++plain > 0) last = line;
+    }
+    if (!WIFEXITED(status) || WEXITSTATUS(status) != 1 || plain != 1 || last.find(words) == std::string::npos)
+      wrong("status " + std::to_string(status) + ", it said " + all);
+  }
+  void reload(bool bad, const std::string& of_operator = "none") {
+    if (bad && of_operator == "none") std::ofstream(folder_ + "/config.json") << "{\"settings\":";
     kill(pid_, SIGHUP);
-    const char* line = bad ? "event=reload_refused why=\"config: " : "event=reloaded ";
+    const char* line = !bad                    ? "event=reloaded "
+                       : of_operator == "none" ? "event=reload_refused why=\"config: "
+                                               : "event=reload_refused ";
     until("the word of the reload", [&] {
       const std::string all = log();
       const std::size_t at = all.find(line, seen_);
@@ -210,6 +230,10 @@
 class Run {
  public:
   Run(Protocol protocol, std::string path) : protocol_(protocol), path_(std::move(path)) {}
+  ~Run() {
+    std::error_code ignored;
+    if (!certs_.empty()) std::filesystem::remove_all(certs_, ignored);
+  }
   void step(const std::string& line) {
     std::istringstream in(line);
     std::string verb, a, b, c;
@@ -223,6 +247,13 @@
     }
     in >> a;
     if (verb == "start") return start(a.empty() ? "1024" : a);
+    if (verb == "start_fails") {
+      Program program(path_, discovery_.port(), protocol_, "1024", membership(), kserve());
+      return program.fails(unescape(a));
+    }
+    if (verb == "cert") return cert(a, in);
+    if (verb == "logged")
+      return until("the line", [&] { return program().log().find(a) != std::string::npos; });
     if (verb == "dns") return dns(a, in);
     if (verb == "sources") {
       sources_ = {a};
@@ -232,6 +263,10 @@
     if (verb == "rule" || verb == "resolver" || verb == "kserve") {
       std::string rest;
       std::getline(in, rest);
+      if (a == "anew") {  // forgets what was set before
+        kserve_ = rest;
+        return;
+      }
       (verb == "rule" ? rule_ : verb == "kserve" ? kserve_ : resolver_) += " " + a + rest;
       return;
     }
@@ -277,8 +312,10 @@
     }
     if (verb == "resolved") return resolved(a, in);
     if (verb == "reload" && a == "operator") {
+      in >> b;
+      program().kserve(kserve());
       program().operator_file(membership());
-      return program().reload(false);
+      return program().reload(b == "bad", b);
     }
     if (verb == "send") return send(a, in);
     in >> b >> c;
@@ -290,7 +327,7 @@
       if (a != "bad") program().configure(discovery_.move());
       program().reload(a == "bad");
     } else if (verb == "replica") {
-      replicas_[a] = make_replica(protocol_, b, c.empty() || b == "says" ? 1 : std::stoi(c));
+      replicas_[a] = make_replica(protocol_, b, c.empty() || b == "says" ? 1 : std::stoi(c), words(in));
       if (b == "says") replica(a).behaviour.text = unescape(c);
     } else if (verb == "discovery") {
       a == "down" ? discovery_.down() : discovery_.silent();
@@ -301,7 +338,7 @@
     } else if (verb == "release") {
       replica(a).behaviour.released = true;
     } else if (verb == "expect") {
-      expect(client(a), b, c);
+      expect(client(a), unescape(b), c);
     } else if (verb == "wait") {
       wait(a, b, std::stol(c));
     } else {
@@ -480,7 +517,8 @@
     discovery_.change(entries);
   }
   void start(const std::string& sockets) {
-    program_ = std::make_unique<Program>(path_, discovery_.port(), protocol_, sockets, membership(), kserve_);
+    program_ =
+        std::make_unique<Program>(path_, discovery_.port(), protocol_, sockets, membership(), kserve());
     const bool kserve = protocol_ == Protocol::kserve;
     until("the port", [&] {
       front_ = program().port("wire=http at=127.0.0.1:");
@@ -504,13 +542,38 @@
     if (static_cast<int>(got.requests.size()) != requests || whole != requests)
       wrong(std::to_string(got.requests.size()) + " requests, " + std::to_string(whole) + " answers");
   }
-  void send(const std::string& id, std::istringstream& in) {
-    Words words;
+  Words words(std::istringstream& in) {
+    Words out{{"folder", certs_}};
     for (std::string word; in >> word;) {
       const std::size_t equals = word.find('=');
-      words[word.substr(0, equals)] = equals == std::string::npos ? "" : word.substr(equals + 1);
+      out[word.substr(0, equals)] = equals == std::string::npos ? "" : word.substr(equals + 1);
+    }
+    return out;
+  }
+  // A certificate by the words ca, san, from and to (seconds from now); key=NAME: with another's key.
+  void cert(const std::string& name, std::istringstream& in) {
+    if (certs_.empty()) {
+      char folder[] = "/tmp/flintglade-certs-XXXXXX";
+      if (mkdtemp(folder) == nullptr) wrong("no folder for certificates");
+      certs_ = folder;
     }
-    clients_[id] = make_client(protocol_, port_, id, std::move(words));
+    Words w = words(in);
+    make_certificate(certs_, name, w["ca"], w["san"], w.count("from") != 0 ? std::stol(w["from"]) : -3600,
+                     w.count("to") != 0 ? std::stol(w["to"]) : 86400);
+    if (w.count("key") != 0)
+      std::filesystem::copy_file(certs_ + "/" + w["key"] + ".key", certs_ + "/" + name + ".key",
+                                 std::filesystem::copy_options::overwrite_existing);
+    if (w.count("mode") != 0)
+      std::filesystem::permissions(certs_ + "/" + name + ".key",
+                                   static_cast<std::filesystem::perms>(std::stoi(w["mode"], nullptr, 8)));
+  }
+  std::string kserve() const {  // '@' stands for the folder of certificates
+    std::string out;
+    for (const char c : kserve_) out += c == '@' ? certs_ + "/" : std::string(1, c);
+    return out;
+  }
+  void send(const std::string& id, std::istringstream& in) {
+    clients_[id] = make_client(protocol_, port_, id, words(in));
   }
   void expect(Client& client, std::string verdict, const std::string& events) {
     const std::string got = client.verdict();
@@ -534,7 +597,7 @@
   Discovery discovery_;
   std::unique_ptr<DnsServer> dns_;
   std::vector<std::string> zones_, sources_;
-  std::string rule_, resolver_, kserve_;
+  std::string rule_, resolver_, kserve_, certs_;
   int spread_ = 0;
   std::map<std::string, std::unique_ptr<Replica>> replicas_;
   std::unique_ptr<Program> program_;
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -32,6 +32,12 @@
 //       nothing
 //   wait events ID N | calls NAME N | counter NAME N | least NAME N     until it is so
 //   release NAME
+//   cert NAME [ca=NAME] [san=DNS:x,URI:y] [from=S] [to=S] [key=NAME] [mode=OCTAL]    a certificate; without
+//   ca an
+//       authority; from and to in seconds from now. '@' in a kserve text is their folder; 'kserve anew TEXT'
+//       forgets what was set before. 'send' and 'replica' take cert=NAME and trust=NAME
+//   start_fails WORDS            the program ends with status 1 and one plain line that has these words
+//   logged WORD                  until its log has it
 //   stop                         SIGTERM, and a clean exit
 #pragma once
 
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <future>
 
+#include "certs.h"
 #include "kserve/names.h"
 #include "kserve_v2.grpc.pb.h"
 
@@ -40,6 +41,32 @@
   return it == words.end() ? otherwise : it->second;
 }
 
+// cert=NAME and trust=NAME: of the folder's certificates, what this side shows and whose word it takes.
+std::string pem(const Words& words, const std::string& word, const char* suffix) {
+  const std::string name = get(words, word, "");
+  return name.empty() ? "" : read_file(get(words, "folder", "") + "/" + name + suffix);
+}
+std::shared_ptr<grpc::ServerCredentials> server_side(const Words& words) {
+  if (words.count("cert") == 0) return grpc::InsecureServerCredentials();
+  grpc::SslServerCredentialsOptions options(words.count("trust") == 0
+                                                ? GRPC_SSL_DONT_REQUEST_CLIENT_CERTIFICATE
+                                                : GRPC_SSL_REQUEST_AND_REQUIRE_CLIENT_CERTIFICATE_AND_VERIFY);
+  options.pem_root_certs = pem(words, "trust", ".pem");
+  options.pem_key_cert_pairs.push_back({pem(words, "cert", ".key"), pem(words, "cert", ".pem")});
+  return grpc::SslServerCredentials(options);
+}
+std::shared_ptr<grpc::Channel> channel_to(unsigned short port, const Words& words) {
+  const std::string at = "ipv4:127.0.0.1:" + std::to_string(port);
+  if (words.count("trust") == 0) return grpc::CreateChannel(at, grpc::InsecureChannelCredentials());
+  grpc::ChannelArguments args;
+  args.SetSslTargetNameOverride(get(words, "name", "127.0.0.1"));
+  return grpc::CreateCustomChannel(
+      at,
+      grpc::SslCredentials(
+          {pem(words, "trust", ".pem"), pem(words, "cert", ".key"), pem(words, "cert", ".pem")}),
+      args);
+}
+
 // ---- replicas
 // -----------------------------------------------------------------------------------------------
 
@@ -96,9 +123,9 @@
 
 class GrpcReplica final : public Replica, private inference::GRPCInferenceService::Service {
  public:
-  GrpcReplica() {
+  explicit GrpcReplica(const Words& words) {
     grpc::ServerBuilder builder;
-    builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port_);
+    builder.AddListeningPort("127.0.0.1:0", server_side(words), &port_);
     builder.RegisterService(this);
     server_ = builder.BuildAndStart();
   }
@@ -263,8 +290,7 @@
  public:
   GrpcClient(unsigned short port, const std::string& id, const Words& words) {
     shy = words.count("shy") != 0;
-    stub_ = inference::GRPCInferenceService::NewStub(
-        grpc::CreateChannel("ipv4:127.0.0.1:" + std::to_string(port), grpc::InsecureChannelCredentials()));
+    stub_ = inference::GRPCInferenceService::NewStub(channel_to(port, words));
     // 'plain': a client that knows nothing of this router.
     if (words.count("plain") == 0) label(words);
     inference::ModelInferRequest request;
@@ -349,6 +375,9 @@
       case grpc::StatusCode::NOT_FOUND:
         verdict_ = "missing";
         break;
+      case grpc::StatusCode::PERMISSION_DENIED:
+        verdict_ = "denied";
+        break;
       case grpc::StatusCode::ALREADY_EXISTS:
         verdict_ = "duplicate";
         break;
@@ -427,14 +456,15 @@
   for (std::size_t i = 1; i < threads_.size(); ++i) threads_[i].join();
 }
 
-std::unique_ptr<Replica> make_replica(Protocol protocol, const std::string& kind, int events) {
+std::unique_ptr<Replica> make_replica(Protocol protocol, const std::string& kind, int events,
+                                      const Words& words) {
   std::unique_ptr<Replica> out;
   if (kind == "refuse") {
     out = std::make_unique<DeadReplica>();
   } else if (protocol == Protocol::http) {
     out = std::make_unique<HttpReplica>();
   } else {
-    out = std::make_unique<GrpcReplica>();
+    out = std::make_unique<GrpcReplica>(words);
   }
   out->behaviour.kind = kind;
   out->behaviour.events = events;
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -60,7 +60,9 @@
   virtual ~Replica() = default;
   virtual unsigned short port() const = 0;
 };
-std::unique_ptr<Replica> make_replica(Protocol protocol, const std::string& kind, int events);
+// words: cert and trust, as for a client.
+std::unique_ptr<Replica> make_replica(Protocol protocol, const std::string& kind, int events,
+                                      const Words& words = {});
 
 class Discovery {
  public:
@@ -89,6 +91,7 @@
   virtual void close() = 0;
   virtual std::string verdict() = 0;  // waits for the end
 };
+// words as 'send' has them; folder: where certificates are.
 std::unique_ptr<Client> make_client(Protocol protocol, unsigned short port, const std::string& id,
                                     Words words);
 std::unique_ptr<Client> make_raw_client(unsigned short port, const std::string& bytes);
