Conformance suite, models described by replicas; an id outside ASCII no longer ends the router

Cause: a client's id went into a header as it was, and gRPC aborts over one that is not ASCII: any client could end the router. Found by the first run of the new suite through it. A bounded cache of what replicas say of models the operator's file does not describe; versions filled in; gzip both ways.

--- a/src/commands/commands.h
+++ b/src/commands/commands.h
@@ -2,6 +2,9 @@
 #pragma once
 
 #include <string>
+#include <vector>
+
+#include "tls/material.h"
 
 namespace flintglade::commands {
 
@@ -9,6 +12,13 @@
   std::string operator_file, replay, record;
 };
 int serve(const ServeOptions& options);
+struct ConformanceOptions {
+  std::string target, model, server_name, junit;
+  tls::Files keys;                    // roots set: speaks TLS
+  std::vector<std::string> metadata;  // NAME=VALUE
+  double timeout_s = 5.0;
+};
+int conformance(const ConformanceOptions& options);
 int check(const std::string& operator_file);
 int resolve(const std::string& operator_file, double wait_s);
 
--- /dev/null
+++ b/src/commands/conformance.cpp
@@ -0,0 +1,53 @@
+#include <grpcpp/create_channel.h>
+
+#include <cstdio>
+
+#include "commands/commands.h"
+#include "config/config.h"
+#include "conformance/checks.h"
+#include "kserve/credentials.h"
+#include "tls/keeper.h"
+
+namespace flintglade::commands {
+
+int conformance(const ConformanceOptions& options) {
+  config::HostPort at;
+  if (!config::parse_host_port(options.target, at))
+    return diagnose(options.target + ": not of the form ADDRESS:PORT");
+  kserve::log_through_ours();
+  conformance::Target target;
+  target.model = options.model;
+  target.timeout_s = options.timeout_s;
+  for (const std::string& pair : options.metadata) {
+    const std::size_t equals = pair.find('=');
+    if (equals == 0 || equals == std::string::npos) return diagnose(pair + ": not of the form NAME=VALUE");
+    target.metadata.emplace_back(pair.substr(0, equals), pair.substr(equals + 1));
+  }
+  const bool v6 = at.host.find(':') != std::string::npos;
+  const std::string address = (v6 ? "ipv6:" : "ipv4:") + config::host_port(at.host, at.port);
+  boost::asio::io_context io;
+  tls::Keeper keys(io, "conformance");
+  grpc::ChannelArguments args;
+  args.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  if (!options.keys.roots.empty()) {
+    const std::string wrong = keys.load(options.keys, 0.0);
+    if (!wrong.empty()) return diagnose(wrong);
+    args.SetSslTargetNameOverride(options.server_name.empty() ? at.host : options.server_name);
+  }
+  target.channel = grpc::CreateCustomChannel(
+      address,
+      options.keys.roots.empty() ? grpc::InsecureChannelCredentials() : kserve::channel_credentials(keys),
+      args);
+  const auto results = conformance::run(target);
+  std::fputs(conformance::table(results).c_str(), stdout);
+  if (!options.junit.empty()) {
+    const std::string wrong = conformance::write_junit(results, options.target, options.junit);
+    if (!wrong.empty()) return diagnose(wrong);
+  }
+  for (const auto& r : results) {
+    if (r.verdict == conformance::Verdict::fail) return 1;
+  }
+  return 0;
+}
+
+}  // namespace flintglade::commands
--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -175,6 +175,12 @@
     broker.attach(core::Wire::kserve, *grpc_subchannels);
     grpc_front = std::make_unique<kserve::GrpcFront>(io, broker, kserve_front, labels(config), config.name,
                                                      front_keys.get());
+    if (kserve_front.replica_metadata.on) {
+      grpc_front->ask_replicas(clock, [&grpc_subchannels](std::string method, std::string question,
+                                                          kserve::GrpcFront::Answered answered) {
+        grpc_subchannels->ask(std::move(method), std::move(question), std::move(answered));
+      });
+    }
     error = grpc_front->listen();
     if (!error.empty()) return diagnose(error);
     log::event(Level::info, "listening",
@@ -207,6 +213,8 @@
       fields.emplace_back("kserve_open_calls", grpc_front->open_calls());
       fields.emplace_back("kserve_streams_refused", grpc_front->counters().streams_refused);
       fields.emplace_back("kserve_silent_calls", grpc_front->counters().silent_calls);
+      fields.emplace_back("kserve_descriptions_asked", grpc_front->counters().descriptions_asked);
+      fields.emplace_back("kserve_descriptions_failed", grpc_front->counters().descriptions_failed);
       fields.emplace_back("kserve_denied", grpc_front->counters().denied);
     }
     for (const auto& [of, keys] :
--- a/src/kserve/front.cpp
+++ b/src/kserve/front.cpp
@@ -93,6 +93,7 @@
     }
     post([this] {
       owner_.calls_.insert(self_);
+      if (owner_.file_.gzip_answers) context_->set_compression_level(GRPC_COMPRESS_LEVEL_MED);
       if (owner_.closing_) return end(Status(StatusCode::UNAVAILABLE, "going down"));
       if (owner_.calls_.size() > owner_.file_.limits.streams) {
         ++owner_.counters_.streams_refused;
@@ -239,6 +240,8 @@
     }
     if (wrong.empty() && owner_.file_.check_tensors) wrong = check_tensors(request, *model);
     if (!wrong.empty()) return refuse(StatusCode::INVALID_ARGUMENT, wrong);
+    if (owner_.file_.fill_version && request.model_version().empty())
+      name_version(model->highest_version(), *rpc);
     const auto exchange = std::make_shared<Exchange>(*this, request.id(), request.model_name());
     if (!exchange->start(std::move(rpc)))
       return refuse(StatusCode::ALREADY_EXISTS, "a request with this id is open");
@@ -282,6 +285,14 @@
     return "";
   }
 
+  // The message is passed on as it came, unknown fields and all, with one field more behind it.
+  static void name_version(const std::string& version, core::RpcRequest& rpc) {
+    if (version.empty()) return;
+    inference::ModelInferRequest only;
+    only.set_model_version(version);
+    rpc.body += only.SerializeAsString();
+  }
+
   // The subject alternative names of the client's certificate.
   std::vector<std::string> names() const {
     std::vector<std::string> out;
@@ -428,20 +439,27 @@
   grpc::ServerUnaryReactor* ModelMetadata(grpc::CallbackServerContext* context,
                                           const inference::ModelMetadataRequest* request,
                                           inference::ModelMetadataResponse* response) override {
-    return answer(context, [this, request, response] {
+    grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+    boost::asio::post(owner_.io_, [this, context, request, response, reactor] {
       const Model* model = owner_.file_.find(request->name(), request->version());
-      if (model == nullptr) return unknown();
-      response->set_name(model->name);
-      response->set_platform(model->platform);
-      for (const std::string& v : model->versions) response->add_versions(v);
-      for (const Tensor& t : model->inputs) describe(t, *response->add_inputs());
-      for (const Tensor& t : model->outputs) describe(t, *response->add_outputs());
-      return Status::OK;
+      if (model == nullptr) return reactor->Finish(unknown());
+      describe(*model, *response);
+      if (!owner_.ask_ || !model->inputs.empty() || !model->outputs.empty())
+        return reactor->Finish(Status::OK);
+      owner_.describe({request->name(), request->version()}, {reactor, context, response, *model});
     });
+    return reactor;
   }
 
  private:
   static Status unknown() { return {StatusCode::NOT_FOUND, "the model is unknown"}; }
+  static void describe(const Model& model, inference::ModelMetadataResponse& out) {
+    out.set_name(model.name);
+    out.set_platform(model.platform);
+    for (const std::string& v : model.versions) out.add_versions(v);
+    for (const Tensor& t : model.inputs) describe(t, *out.add_inputs());
+    for (const Tensor& t : model.outputs) describe(t, *out.add_outputs());
+  }
   static void describe(const Tensor& t, inference::ModelMetadataResponse::TensorMetadata& out) {
     out.set_name(t.name);
     out.set_datatype(t.datatype);
@@ -464,10 +482,71 @@
       labels_(std::move(labels)),
       name_(std::move(name)),
       keys_(keys),
-      health_(io) {}
+      health_(io),
+      descriptions_({file_.replica_metadata.entries, static_cast<Micros>(file_.replica_metadata.ttl_s * 1e6),
+                     static_cast<Micros>(file_.replica_metadata.stale_s * 1e6)}) {}
 
 GrpcFront::~GrpcFront() { stop(); }
 
+void GrpcFront::ask_replicas(core::Clock& clock, Ask ask) {
+  clock_ = &clock;
+  ask_ = std::move(ask);
+}
+
+// The response has what the file says already; where the file is silent, a replica's word is put in.
+bool GrpcFront::answer_from_cache(const Descriptions::Key& key, const Waiting& question) {
+  const Descriptions::Found found = descriptions_.find(key, clock_->now());
+  if (found.state == Descriptions::State::absent) return false;
+  if (found.state == Descriptions::State::unknown) {
+    question.reactor->Finish(Status(StatusCode::NOT_FOUND, "the replicas do not know the model"));
+    return true;
+  }
+  auto& out = *question.response;
+  *out.mutable_inputs() = found.said->inputs();
+  *out.mutable_outputs() = found.said->outputs();
+  if (question.model.versions.empty()) *out.mutable_versions() = found.said->versions();
+  if (question.model.platform.empty()) out.set_platform(found.said->platform());
+  question.reactor->Finish(Status::OK);
+  return true;
+}
+
+void GrpcFront::describe(Descriptions::Key key, Waiting question) {
+  const auto none = [](const Waiting& w) {
+    w.context->AddTrailingMetadata(kPushback, kFullPushback);
+    w.reactor->Finish(Status(StatusCode::UNAVAILABLE, "no replica has described the model yet"));
+  };
+  const bool answered = answer_from_cache(key, question);  // an old word serves while a new one is asked for
+  const bool ask = !closing_ && descriptions_.ask(key, clock_->now());
+  if (!answered) {
+    if ((!ask && !descriptions_.asking(key)) || waiting_count_ >= file_.limits.streams) return none(question);
+    waiting_[key].push_back(std::move(question));
+    ++waiting_count_;
+  }
+  if (!ask) return;
+  ++counters_.descriptions_asked;
+  inference::ModelMetadataRequest asked;
+  asked.set_name(key.first);
+  asked.set_version(key.second);
+  ask_("/inference.GRPCInferenceService/ModelMetadata", asked.SerializeAsString(),
+       [this, key, none](const Status& status, const std::string& bytes) {
+         inference::ModelMetadataResponse said;
+         if (status.ok() && said.ParseFromString(bytes)) {
+           descriptions_.told(key, std::move(said), clock_->now());
+         } else if (status.error_code() == StatusCode::NOT_FOUND) {
+           descriptions_.told_unknown(key, clock_->now());
+         } else {
+           ++counters_.descriptions_failed;
+           descriptions_.failed(key, clock_->now());
+         }
+         const auto waiting = waiting_.extract(key);
+         if (waiting.empty()) return;
+         for (const Waiting& w : waiting.mapped()) {
+           --waiting_count_;
+           if (!answer_from_cache(key, w)) none(w);
+         }
+       });
+}
+
 std::string GrpcFront::listen() {
   standard_ = std::make_unique<Standard>(*this);
   infer_ = std::make_unique<Infer>(*this);
@@ -507,6 +586,7 @@
   fresh.listen = file_.listen;
   fresh.replica_port = file_.replica_port;
   fresh.reflection = file_.reflection;
+  fresh.replica_metadata = file_.replica_metadata;
   // What the server was built with stays; the rest of the limits change.
   const Limits built = file_.limits;
   fresh.limits.streams_per_connection = built.streams_per_connection;
--- a/src/kserve/front.h
+++ b/src/kserve/front.h
@@ -7,13 +7,16 @@
 
 #include <atomic>
 #include <boost/asio.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "config/labels.h"
 #include "core/broker.h"
+#include "kserve/descriptions.h"
 #include "kserve/models.h"
 #include "tls/keeper.h"
 
@@ -29,10 +32,15 @@
   int port() const { return port_; }
   // Models, mapping and checks change live; where it listens, and reflection, do not.
   void reload(FrontSettings fresh);
+  // Where replicas' word on models comes from, for models that the file does not describe.
+  using Answered = std::function<void(const grpc::Status&, std::string)>;
+  using Ask = std::function<void(std::string method, std::string question, Answered)>;
+  void ask_replicas(core::Clock& clock, Ask ask);
   struct Counters {
     std::uint64_t streams_refused = 0;  // too many were open
     std::uint64_t silent_calls = 0;     // no request came in time
-    std::uint64_t denied = 0;           // a certificate spoke for another tenant, or for none
+    std::uint64_t descriptions_asked = 0, descriptions_failed = 0;
+    std::uint64_t denied = 0;  // a certificate spoke for another tenant, or for none
   };
   const Counters& counters() const { return counters_; }
   std::size_t open_calls() const { return calls_.size(); }
@@ -46,6 +54,14 @@
   class Exchange;
   class Infer;
   class Standard;
+  struct Waiting {  // for a replica's word
+    grpc::ServerUnaryReactor* reactor;
+    grpc::CallbackServerContext* context;
+    inference::ModelMetadataResponse* response;
+    Model model;  // as the file had it when the question came
+  };
+  void describe(Descriptions::Key key, Waiting question);
+  bool answer_from_cache(const Descriptions::Key& key, const Waiting& question);
   void tell_health();
 
   boost::asio::io_context& io_;
@@ -65,6 +81,11 @@
   boost::asio::steady_timer health_;
   std::map<std::string, bool> healthy_;  // as grpc.health.v1 has been told, by service
   std::uint64_t traces_ = 0;
+  core::Clock* clock_ = nullptr;
+  Ask ask_;
+  Descriptions descriptions_;
+  std::map<Descriptions::Key, std::vector<Waiting>> waiting_;
+  std::size_t waiting_count_ = 0;
 };
 
 }  // namespace flintglade::kserve
--- a/src/kserve/mapping.cpp
+++ b/src/kserve/mapping.cpp
@@ -144,6 +144,28 @@
   return out;
 }
 
+std::string header_value(std::string_view name) {
+  constexpr std::size_t kLongest = 256;
+  constexpr char kHex[] = "0123456789abcdef";
+  std::string out;
+  for (const char c : name) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte >= ' ' && byte < 0x7f) {
+      out += c;
+    } else {
+      out += {'%', kHex[byte >> 4], kHex[byte & 15]};
+    }
+    if (out.size() > kLongest) {  // two long names differ still
+      out.resize(kLongest - 17);
+      const std::uint64_t hash = config::hash_name(name);
+      out += '~';
+      for (int shift = 60; shift >= 0; shift -= 4) out += kHex[(hash >> shift) & 15];
+      break;
+    }
+  }
+  return out;
+}
+
 bool passes_on(std::string_view name) {
   static constexpr std::array<std::string_view, 7> kStripped = {
       "authorization", "content-type", "host", "te", "user-agent", "connection", "cookie"};
--- a/src/kserve/models.cpp
+++ b/src/kserve/models.cpp
@@ -1,6 +1,7 @@
 #include "kserve/models.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace flintglade::kserve {
 namespace {
@@ -21,6 +22,21 @@
 
 }  // namespace
 
+const std::string& Model::highest_version() const {
+  static const std::string kNone;
+  // Numbers may have any length: by length, without leading zeros, then by digits. What is no number is
+  // lower.
+  const auto rank = [](const std::string& v) {
+    const bool number = !v.empty() && v.find_first_not_of("0123456789") == std::string::npos;
+    const std::string digits = v.substr(std::min(v.find_first_not_of('0'), v.size()));
+    return std::tuple(number, number ? digits.size() : 0, number ? digits : v);
+  };
+  const auto it =
+      std::max_element(versions.begin(), versions.end(),
+                       [&](const std::string& a, const std::string& b) { return rank(a) < rank(b); });
+  return it == versions.end() ? kNone : *it;
+}
+
 const Model* FrontSettings::find(std::string_view name, std::string_view version) const {
   const auto it = std::find_if(models.begin(), models.end(), [&](const Model& m) { return m.name == name; });
   if (it == models.end()) return nullptr;
@@ -59,6 +75,13 @@
   if (l.has_least_ping_s()) out.limits.least_ping_s = l.least_ping_s();
   if (l.has_replica_ping_s()) out.limits.replica_ping_s = l.replica_ping_s();
   if (file.has_stream_requests()) out.stream_requests = file.stream_requests();
+  const deploy::ReplicaMetadata& said = file.replica_metadata();
+  out.replica_metadata.on = file.has_replica_metadata();
+  if (said.has_entries()) out.replica_metadata.entries = said.entries();
+  if (said.has_ttl_s()) out.replica_metadata.ttl_s = said.ttl_s();
+  if (said.has_stale_s()) out.replica_metadata.stale_s = said.stale_s();
+  out.fill_version = file.fill_version();
+  out.gzip_answers = file.gzip_answers();
   out.tls = file.has_tls();
   out.bound_only = file.tls().bound_only();
   for (const deploy::Bound& b : file.tls().bound()) out.bound.push_back({b.san(), b.tenant(), b.class_()});
--- a/src/kserve/models.h
+++ b/src/kserve/models.h
@@ -21,7 +21,8 @@
   std::string name, platform;
   std::vector<std::string> versions;
   std::vector<Tensor> inputs, outputs;
-  std::string klass, tenant;  // of requests that say none
+  std::string klass, tenant;                   // of requests that say none
+  const std::string& highest_version() const;  // of those listed, in numbers; empty: none is
 };
 struct MappedField {
   std::vector<std::string> metadata, parameters;
@@ -35,6 +36,11 @@
   std::size_t streams = 2048, streams_per_connection = 256, transport_mb = 32;
   double first_request_s = 5.0, connection_age_s = 0.0, least_ping_s = 5.0, replica_ping_s = 0.0;
 };
+struct DescriptionLimits {
+  bool on = false;
+  std::size_t entries = 64;
+  double ttl_s = 60.0, stale_s = 3600.0;
+};
 struct Bound {  // a certificate with this name speaks for this tenant
   std::string san, tenant, klass;
 };
@@ -47,6 +53,8 @@
   bool reflection = false, check_tensors = false, pass_metadata = false, errors_in_band = false;
   std::size_t stream_requests = 16;
   Limits limits;
+  DescriptionLimits replica_metadata;
+  bool fill_version = false, gzip_answers = false;
   bool tls = false, bound_only = false;
   std::vector<Bound> bound;
 
--- a/src/kserve/names.h
+++ b/src/kserve/names.h
@@ -33,6 +33,11 @@
   if (!buffer.DumpToSingleSlice(&slice).ok()) return "";
   return {reinterpret_cast<const char*>(slice.begin()), slice.size()};
 }
+// A name that a client chose, in the form that a header can carry: a client's id may hold any bytes, any
+// number of them. gRPC ends the whole process over a value with others; the conformance suite found it with
+// an id in UTF-8.
+std::string header_value(std::string_view name);
+
 template <typename Map>
 std::string_view find_metadata(const Map& map, const char* key) {
   const auto it = map.find(key);
--- a/src/kserve/subchannels.cpp
+++ b/src/kserve/subchannels.cpp
@@ -22,6 +22,8 @@
 namespace {
 
 constexpr int kPingTimeout = 2000;  // ms
+constexpr std::chrono::seconds kAnswerTime{1};
+constexpr int kQuestionTries = 2;
 
 // gRPC may not send anything again by itself (each arrival at a replica is an attempt), nor wait long before
 // it connects anew, nor look for a proxy.
@@ -55,7 +57,7 @@
   Call(GrpcSubchannels& owner, core::CallId id, std::shared_ptr<const core::RpcRequest> rpc, Micros patience)
       : owner_(owner), io_(owner.io_), id_(id), rpc_(std::move(rpc)), dial_(owner.io_) {
     streams_ = rpc_->target == kStreamInfer;
-    context_.AddMetadata(kTrace, rpc_->trace_id);
+    context_.AddMetadata(kTrace, header_value(rpc_->trace_id));
     for (const auto& [name, value] : rpc_->metadata) context_.AddMetadata(name, value);
     context_.AddMetadata(kExpires, std::to_string(std::max<Micros>(1, patience / core::kMilli)));
     ++owner_.unfinished_;
@@ -188,9 +190,77 @@
     sub.channel.reset();
   }
   sub.no_new_after = no_new_after;
+  sub.ready = endpoint.replica.health == pipitcleat::Health::ready && no_new_after == core::kNever;
   if (endpoint.replica.health == pipitcleat::Health::gone) sub.channel.reset();  // calls under way keep it
 }
 
+std::shared_ptr<grpc::Channel> GrpcSubchannels::channel(Subchannel& sub) {
+  config::HostPort at;
+  if (sub.channel || !config::parse_host_port(sub.address, at)) return sub.channel;
+  const std::string port = std::to_string(set_.replica_port != 0 ? set_.replica_port : at.port);
+  const bool v6 = at.host.find(':') != std::string::npos;
+  return sub.channel = open_channel(v6 ? "ipv6:[" + at.host + "]:" + port : "ipv4:" + at.host + ":" + port,
+                                    at.host, set_);
+}
+
+// Lives until it is answered.
+class GrpcSubchannels::Question final : public std::enable_shared_from_this<Question> {
+ public:
+  Question(GrpcSubchannels& owner, std::string method, std::string question, Asked answered)
+      : owner_(owner),
+        method_(std::move(method)),
+        question_(to_buffer(question)),
+        answered_(std::move(answered)) {}
+  void ask() {
+    ++tries_;
+    const auto channel = owner_.next_ready();
+    if (!channel) return answered_({grpc::StatusCode::UNAVAILABLE, "no replica is ready"}, "");
+    ++owner_.unfinished_;
+    context_ = std::make_unique<grpc::ClientContext>();
+    context_->set_deadline(std::chrono::system_clock::now() + kAnswerTime);
+    stub_ = std::make_unique<grpc::TemplatedGenericStub<grpc::ByteBuffer, grpc::ByteBuffer>>(channel);
+    stub_->UnaryCall(context_.get(), method_, {}, &question_, &answer_,
+                     [self = shared_from_this()](const grpc::Status& status) {
+                       boost::asio::post(self->owner_.io_, [self, status] { self->done(status); });
+                     });
+  }
+
+ private:
+  void done(const grpc::Status& status) {
+    --owner_.unfinished_;
+    const bool answer = status.ok() || status.error_code() == grpc::StatusCode::NOT_FOUND;
+    if (!answer && tries_ < kQuestionTries) return ask();
+    answered_(status, status.ok() ? to_string(answer_) : "");
+  }
+  GrpcSubchannels& owner_;
+  std::string method_;
+  grpc::ByteBuffer question_, answer_;
+  Asked answered_;
+  std::unique_ptr<grpc::ClientContext> context_;
+  std::unique_ptr<grpc::TemplatedGenericStub<grpc::ByteBuffer, grpc::ByteBuffer>> stub_;
+  int tries_ = 0;
+};
+
+std::shared_ptr<grpc::Channel> GrpcSubchannels::next_ready() {
+  // The first ready one behind the last that was asked, around the ring of ids.
+  Subchannel* next = nullptr;
+  core::ReplicaId best = 0;
+  for (auto& [id, sub] : subs_) {
+    if (!sub.ready) continue;
+    if (next == nullptr || id - last_asked_ - 1 < best - last_asked_ - 1) {
+      next = &sub;
+      best = id;
+    }
+  }
+  if (next == nullptr) return nullptr;
+  last_asked_ = best;
+  return channel(*next);
+}
+
+void GrpcSubchannels::ask(std::string method, std::string question, Asked answered) {
+  std::make_shared<Question>(*this, std::move(method), std::move(question), std::move(answered))->ask();
+}
+
 void GrpcSubchannels::renew() {
   for (auto& [id, sub] : subs_) sub.channel.reset();
 }
@@ -199,21 +269,14 @@
                            std::shared_ptr<const core::RpcRequest> rpc, Micros patience) {
   const auto it = subs_.find(replica);
   const Micros now = clock_.now();
-  config::HostPort at;
-  if (it == subs_.end() || now >= it->second.no_new_after ||
-      !config::parse_host_port(it->second.address, at)) {
+  if (it == subs_.end() || now >= it->second.no_new_after)
     return broker_.call_ended(id, Outcome::connect_failed);
-  }
   Subchannel& sub = it->second;
-  if (!sub.channel) {
-    const std::string port = std::to_string(set_.replica_port != 0 ? set_.replica_port : at.port);
-    const bool v6 = at.host.find(':') != std::string::npos;
-    sub.channel =
-        open_channel(v6 ? "ipv6:[" + at.host + "]:" + port : "ipv4:" + at.host + ":" + port, at.host, set_);
-  }
+  const auto open = channel(sub);
+  if (!open) return broker_.call_ended(id, Outcome::connect_failed);
   const auto call = std::make_shared<Call>(*this, id, std::move(rpc), patience);
   calls_[id] = call;
-  call->start(sub.channel, std::min(set_.dial_timeout, sub.no_new_after - now));
+  call->start(open, std::min(set_.dial_timeout, sub.no_new_after - now));
 }
 
 void GrpcSubchannels::cancel(core::CallId id) {
--- a/src/kserve/subchannels.h
+++ b/src/kserve/subchannels.h
@@ -5,8 +5,10 @@
 #include <grpcpp/channel.h>
 
 #include <boost/asio.hpp>
+#include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <unordered_map>
 
 #include "core/broker.h"
@@ -35,17 +37,26 @@
   void cancel(core::CallId id) override;
   void pause(core::CallId id, bool paused) override;
   void reload(core::Micros dial_timeout) { set_.dial_timeout = dial_timeout; }
+  // One small question to a ready replica, and to another if it does not answer in time; each takes its turn.
+  // Always answered, on the loop; UNAVAILABLE where there is no ready replica.
+  using Asked = std::function<void(const grpc::Status& status, std::string answer)>;
+  void ask(std::string method, std::string question, Asked answered);
   // Calls from now on go over new connections, by the keys in force; those under way keep theirs.
   void renew();
   std::size_t unfinished() const { return unfinished_; }  // calls that gRPC has not let go of yet
 
  private:
   class Call;
+  class Question;
   struct Subchannel {
     std::string address;
     core::Micros no_new_after = core::kNever;
+    bool ready = false;
     std::shared_ptr<grpc::Channel> channel;
   };
+  // The subchannel's own, opened if need be; null: its address cannot be used.
+  std::shared_ptr<grpc::Channel> channel(Subchannel& sub);
+  std::shared_ptr<grpc::Channel> next_ready();  // null: none is
 
   boost::asio::io_context& io_;
   core::Broker& broker_;
@@ -54,6 +65,7 @@
   std::unordered_map<core::ReplicaId, Subchannel> subs_;
   std::map<core::CallId, std::shared_ptr<Call>> calls_;
   std::size_t unfinished_ = 0;
+  core::ReplicaId last_asked_ = 0;
 };
 
 }  // namespace flintglade::kserve
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -35,6 +35,21 @@
   resolve->add_option("FILE", file, "the operator's file")->required();
   resolve->add_option("--wait", wait_s, "seconds to wait for the sources")->check(CLI::Range(0.1, 600.0));
 
+  commands::ConformanceOptions suite;
+  CLI::App* conformance =
+      app.add_subcommand("conformance", "Check any server of KServe v2 over gRPC against the protocol");
+  conformance->add_option("HOST:PORT", suite.target, "a numeric address")->required();
+  conformance->add_option("--model", suite.model, "a model that it serves; without one, much is skipped");
+  conformance->add_option("--timeout", suite.timeout_s, "seconds for each call")
+      ->check(CLI::Range(0.1, 600.0));
+  conformance->add_option("--metadata", suite.metadata, "NAME=VALUE, sent with each call");
+  auto* ca =
+      conformance->add_option("--tls", suite.keys.roots, "speak TLS; a PEM file of whose word is taken");
+  auto* cert = conformance->add_option("--cert", suite.keys.certificate, "our certificate, PEM")->needs(ca);
+  conformance->add_option("--key", suite.keys.key, "its key, PEM")->needs(cert);
+  conformance->add_option("--server-name", suite.server_name, "which its certificate must have")->needs(ca);
+  conformance->add_option("--junit", suite.junit, "write the results to this file, as JUnit's XML");
+
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
@@ -44,6 +59,8 @@
   int status = 0;
   if (check->parsed()) {
     status = commands::check(file);
+  } else if (conformance->parsed()) {
+    status = commands::conformance(suite);
   } else if (resolve->parsed()) {
     status = commands::resolve(file, wait_s);
   } else {
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -159,6 +159,9 @@
                      {"connection_age_s", 0, 604800},
                      {"least_ping_s", 0.01, 3600},
                      {"replica_ping_s", 0, 3600}});
+  if (error.empty())
+    error = numbers(kserve.replica_metadata(), at.in("replica_metadata"),
+                    {{"entries", 1, 4096}, {"ttl_s", 0, 86400}, {"stale_s", 0, 604800}});
   if (error.empty() && kserve.has_tls()) error = check(kserve.tls(), at.in("tls"));
   if (error.empty() && kserve.has_replica_tls()) error = check(kserve.replica_tls(), at.in("replica_tls"));
   if (!error.empty()) return error;
@@ -298,6 +301,8 @@
     fixed.mutable_kserve()->clear_check_tensors();
     fixed.mutable_kserve()->clear_pass_metadata();
     fixed.mutable_kserve()->clear_errors_in_band();
+    fixed.mutable_kserve()->clear_fill_version();
+    fixed.mutable_kserve()->clear_gzip_answers();
     fixed.mutable_kserve()->clear_stream_requests();
     // Certificates are read anew; whether there are any does not change, nor whether clients need one.
     if (fixed.kserve().has_tls()) {
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <set>
 #include <sstream>
 #include <stdexcept>
 
@@ -252,6 +253,19 @@
       return program.fails(unescape(a));
     }
     if (verb == "cert") return cert(a, in);
+    if (verb == "conformance") return conformance(a, in);
+    if (verb == "describes") {
+      in >> b >> c;
+      std::string said;
+      try {
+        return until("it", [&] {
+          said = grpc_describe(port_, a, c);
+          return said == b || said.find(unescape(b)) != std::string::npos;
+        });
+      } catch (const std::exception&) {
+        wrong("it is " + said);
+      }
+    }
     if (verb == "logged")
       return until("the line", [&] { return program().log().find(a) != std::string::npos; });
     if (verb == "dns") return dns(a, in);
@@ -491,6 +505,28 @@
     const std::string got = b.metadata.count(key) != 0 ? b.metadata[key] : "nothing";
     if (got != value) wrong("it saw " + got);
   }
+  // 'flintglade conformance' of the router, or straight at a replica: just these checks fail, or are skipped.
+  void conformance(const std::string& of, std::istringstream& in) {
+    std::set<std::string> expected, got;
+    std::string more;
+    for (std::string word; in >> word;)
+      word[0] == '-' ? void(more += " " + word) : void(expected.insert(word));
+    for (char& c : more) c = c == '=' ? ' ' : c;
+    for (std::size_t at; (at = more.find('@')) != std::string::npos;) more.replace(at, 1, certs_ + "/");
+    const unsigned short port = of == "router" ? port_ : replica(of).port();
+    const std::string out = program().run("conformance 127.0.0.1:" + std::to_string(port) +
+                                          " --model shared --timeout 2" + more + " --junit /dev/null #");
+    std::istringstream lines(out);
+    bool whole = false;
+    for (std::string line; std::getline(lines, line);) {
+      std::istringstream words(line);
+      std::string verdict, name;
+      words >> verdict >> name;
+      if (verdict == "FAIL" || verdict == "skip") got.insert(name);
+      whole = whole || line.find(" passed, ") != std::string::npos;
+    }
+    if (!whole || got != expected) wrong("it said\n" + out);
+  }
   void resolved(const std::string& first, std::istringstream& in) {
     std::vector<std::string> words{first};
     for (std::string word; in >> word;) words.push_back(word);
@@ -586,6 +622,7 @@
   void wait(const std::string& what, const std::string& name, long value) {
     until(what + " " + name, [&] {
       if (what == "events") return client(name).events >= value;
+      if (what == "described") return replica(name).behaviour.described >= value;
       if (what == "calls") return replica(name).behaviour.calls >= value;
       if (what == "least") return program().counter(name) >= value;
       return program().counter(name) == value;
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -36,6 +36,8 @@
 //   ca an
 //       authority; from and to in seconds from now. '@' in a kserve text is their folder; 'kserve anew TEXT'
 //       forgets what was set before. 'send' and 'replica' take cert=NAME and trust=NAME
+//   conformance router|REPLICA [CHECK]... [--OPTION=X]...     just these checks fail or are skipped
+//   describes MODEL WORDS [VERSION]     until ModelMetadata has these words; or its status
 //   start_fails WORDS            the program ends with status 1 and one plain line that has these words
 //   logged WORD                  until its log has it
 //   stop                         SIGTERM, and a clean exit
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -124,6 +124,7 @@
 class GrpcReplica final : public Replica, private inference::GRPCInferenceService::Service {
  public:
   explicit GrpcReplica(const Words& words) {
+    grpc::EnableDefaultHealthCheckService(true);
     grpc::ServerBuilder builder;
     builder.AddListeningPort("127.0.0.1:0", server_side(words), &port_);
     builder.RegisterService(this);
@@ -136,9 +137,13 @@
   unsigned short port() const override { return static_cast<unsigned short>(port_); }
 
  private:
-  void note(const grpc::ServerContext* context) {
+  // 'version' and 'unknown': of the message, what the scenario may want to see of it.
+  void note(const grpc::ServerContext* context, const inference::ModelInferRequest& request) {
     const std::lock_guard lock(behaviour.mutex);
     behaviour.metadata.clear();
+    behaviour.metadata["version"] = request.model_version();
+    behaviour.metadata["unknown"] =
+        std::to_string(request.GetReflection()->GetUnknownFields(request).field_count());
     for (const auto& [key, value] : context->client_metadata())
       behaviour.metadata[{key.data(), key.size()}] = {value.data(), value.size()};
   }
@@ -160,9 +165,11 @@
   }
   grpc::Status ModelInfer(grpc::ServerContext* context, const inference::ModelInferRequest* request,
                           inference::ModelInferResponse* response) override {
-    note(context);
+    note(context, *request);
     return ending(behaviour.play([&](int) {
       response->set_id(request->id());
+      response->set_model_name(request->model_name());
+      response->set_model_version(request->model_version());
       return !context->IsCancelled();
     }),
                   context);
@@ -170,9 +177,9 @@
   grpc::Status ModelStreamInfer(grpc::ServerContext* context,
                                 grpc::ServerReaderWriter<inference::ModelStreamInferResponse,
                                                          inference::ModelInferRequest>* stream) override {
-    note(context);
     inference::ModelInferRequest request;
     stream->Read(&request);
+    note(context, request);
     return ending(behaviour.play([&](int n) {
       inference::ModelStreamInferResponse event;
       event.mutable_infer_response()->set_id(request.id());
@@ -181,6 +188,48 @@
     }),
                   context);
   }
+  // A model of one version that takes and gives two INT32.
+  static bool knows(const std::string& name, const std::string& version) {
+    return name == "shared" && (version.empty() || version == "1");
+  }
+  static grpc::Status unknown() { return {grpc::StatusCode::NOT_FOUND, "unknown model"}; }
+  grpc::Status ServerLive(grpc::ServerContext*, const inference::ServerLiveRequest*,
+                          inference::ServerLiveResponse* response) override {
+    response->set_live(true);
+    return grpc::Status::OK;
+  }
+  grpc::Status ServerReady(grpc::ServerContext*, const inference::ServerReadyRequest*,
+                           inference::ServerReadyResponse* response) override {
+    response->set_ready(true);
+    return grpc::Status::OK;
+  }
+  grpc::Status ServerMetadata(grpc::ServerContext*, const inference::ServerMetadataRequest*,
+                              inference::ServerMetadataResponse* response) override {
+    response->set_name("stand-in");
+    response->set_version("1");
+    return grpc::Status::OK;
+  }
+  grpc::Status ModelReady(grpc::ServerContext*, const inference::ModelReadyRequest* request,
+                          inference::ModelReadyResponse* response) override {
+    response->set_ready(knows(request->name(), request->version()));
+    return response->ready() ? grpc::Status::OK : unknown();
+  }
+  grpc::Status ModelMetadata(grpc::ServerContext*, const inference::ModelMetadataRequest* request,
+                             inference::ModelMetadataResponse* response) override {
+    ++behaviour.described;
+    if (behaviour.kind == "hang") std::this_thread::sleep_for(1500ms);
+    if (behaviour.kind == "error") return {grpc::StatusCode::INTERNAL, "no"};
+    if (!knows(request->name(), request->version())) return unknown();
+    response->set_name(request->name());
+    response->add_versions("1");
+    response->set_platform("stand_in");
+    for (auto* tensor : {response->add_inputs(), response->add_outputs()}) {
+      tensor->set_name("x");
+      tensor->set_datatype("INT32");
+      tensor->add_shape(2);
+    }
+    return grpc::Status::OK;
+  }
   int port_ = 0;
   std::unique_ptr<grpc::Server> server_;
 };
@@ -313,6 +362,8 @@
         request.add_raw_input_contents(std::string(std::stoul(value), 'x'));
       }
     }
+    if (words.count("gzip") != 0) context_.set_compression_algorithm(GRPC_COMPRESS_GZIP);
+    request.set_model_version(get(words, "version", ""));
     const bool unary = words.count("unary") != 0;
     thread_ = std::thread([this, request, unary] { unary ? infer(request) : stream(request); });
   }
@@ -666,6 +717,20 @@
   return state.value() == 1 ? "SERVING" : "NOT_SERVING";
 }
 
+std::string grpc_describe(unsigned short port, const std::string& model, const std::string& version) {
+  const auto stub = inference::GRPCInferenceService::NewStub(channel_to(port, {}));
+  grpc::ClientContext context;
+  inference::ModelMetadataRequest request;
+  request.set_name(model);
+  request.set_version(version);
+  inference::ModelMetadataResponse response;
+  const grpc::Status status = stub->ModelMetadata(&context, request, &response);
+  if (status.ok()) return response.ShortDebugString();
+  return status.error_code() == grpc::StatusCode::NOT_FOUND     ? "NOT_FOUND"
+         : status.error_code() == grpc::StatusCode::UNAVAILABLE ? "UNAVAILABLE"
+                                                                : status.error_message();
+}
+
 int http_status(unsigned short port, const std::string& path) {
   asio::io_context io;
   tcp::socket socket(io);
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -24,6 +24,7 @@
   std::string padding() const { return kind == "flood" ? std::string(16384, 'p') : ""; }
   int events = 1;
   std::atomic<int> calls = 0;
+  std::atomic<int> described = 0;  // gRPC: how often it was asked for its model's metadata
   std::atomic<bool> released = false;
   std::atomic<bool> stopping = false;
   std::mutex mutex;                             // of what follows
@@ -112,6 +113,8 @@
 void measure_grpc(unsigned short router, unsigned short replica, int requests);
 // What grpc.health.v1 says of a service: SERVING, NOT_SERVING, or the status of the call.
 std::string grpc_health(unsigned short port, const std::string& service);
+// What ModelMetadata says of a model, in one line; or the name of the status.
+std::string grpc_describe(unsigned short port, const std::string& model, const std::string& version);
 int http_status(unsigned short port, const std::string& path);  // 0: no answer
 
 }  // namespace flintglade::tests
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -17,7 +17,9 @@
 #include "discovery/entries.h"
 #include "http/sse.h"
 #include "kserve/check.h"
+#include "kserve/descriptions.h"
 #include "kserve/mapping.h"
+#include "kserve/names.h"
 #include "log/collapse.h"
 #include "log/log.h"
 #include "operator/operator_file.h"
@@ -516,6 +518,69 @@
   ::unlink(path.c_str());
 }
 
+// A model that nobody described: asked once at a time, remembered in bounds, and not forgotten by silence.
+void replicas_describe_models() {
+  using State = kserve::Descriptions::State;
+  kserve::Descriptions d({2, 60 * core::kSecond, 600 * core::kSecond, core::kSecond});
+  const kserve::Descriptions::Key a{"a", ""}, b{"b", ""}, c{"c", ""};
+  core::Micros now = 0;
+  CHECK(d.find(a, now).state == State::absent && d.ask(a, now) && !d.ask(a, now) && d.asking(a));
+  inference::ModelMetadataResponse said;
+  said.set_name("a");
+  d.told(a, said, now);
+  CHECK(d.find(a, now).state == State::known && d.find(a, now).said->name() == "a" && !d.ask(a, now));
+  now = 60 * core::kSecond;  // its time has come: asked anew, and the old word serves
+  CHECK(d.find(a, now).state == State::known && d.ask(a, now));
+  d.failed(a, now);
+  CHECK(d.find(a, now).state == State::known && !d.ask(a, now) && d.ask(a, now + core::kSecond));
+  now = 660 * core::kSecond;
+  d.failed(a, now);
+  CHECK(d.find(a, now).state == State::absent);
+  CHECK(d.ask(b, now) && d.ask(a, now + core::kSecond));
+  CHECK(!d.ask(c, now) && d.size() == 2);  // both have somebody waiting: neither is let go
+  d.told_unknown(b, now);
+  CHECK(d.find(b, now).state == State::unknown && d.find(b, now + core::kSecond).state == State::absent);
+  CHECK(d.ask(c, now + core::kSecond) && d.size() == 2 && d.asking(a) && !d.asking(b));
+}
+
+void a_certificate_speaks_for_its_tenant() {
+  const std::vector<kserve::Bound> bound{{"spiffe://t/acme/*", "acme", "chat"}, {"ops.test", "ops", ""}};
+  CHECK(kserve::find_bound(bound, {}) == nullptr && kserve::find_bound(bound, {"spiffe://t/acm"}) == nullptr);
+  CHECK(kserve::find_bound(bound, {"x", "spiffe://t/acme/bot"})->tenant == "acme");
+  CHECK(kserve::find_bound(bound, {"ops.test"})->tenant == "ops");
+  CHECK(kserve::find_bound(bound, {"ops.test.evil"}) == nullptr);
+  inference::ModelInferRequest request;
+  kserve::Model model;
+  model.tenant = "other";  // of requests that say none: the certificate comes before it
+  const auto mapped = [&](const std::string& claimed) {
+    return kserve::map_request(
+        request, model, {},
+        [&](const std::string& name) { return name == kserve::kTenant ? claimed : std::string_view(); },
+        &bound[0]);
+  };
+  CHECK(mapped("").tenant == "acme" && mapped("").denied.empty() && mapped("").klass == "chat");
+  CHECK(mapped("acme").denied.empty() && !mapped("ops").denied.empty());
+}
+
+void the_highest_version_is_by_number() {
+  kserve::Model m;
+  CHECK(m.highest_version().empty());
+  m.versions = {"9", "010", "x", "8"};
+  CHECK(m.highest_version() == "010");
+  m.versions = {"99999999999999999999", "100000000000000000000", "z"};
+  CHECK(m.highest_version() == "100000000000000000000");
+  m.versions = {"beta", "alpha"};
+  CHECK(m.highest_version() == "beta");
+}
+
+void names_fit_into_a_header() {
+  CHECK(kserve::header_value("a b~%") == "a b~%");
+  CHECK(kserve::header_value(std::string("\r\n\0\x7f", 4)) == "%0d%0a%00%7f");
+  const std::string a = kserve::header_value(std::string(300, 'a') + "1"),
+                    b = kserve::header_value(std::string(300, 'a') + "2");
+  CHECK(a.size() == 256 && b.size() == 256 && a != b);
+}
+
 }  // namespace
 
 int main() {
@@ -536,6 +601,10 @@
                                          operator_files_are_checked,
                                          tensors_are_checked,
                                          what_plain_clients_say_is_mapped,
+                                         replicas_describe_models,
+                                         a_certificate_speaks_for_its_tenant,
+                                         the_highest_version_is_by_number,
+                                         names_fit_into_a_header,
                                          a_storm_of_like_lines_is_counted,
                                          savefiles_give_back_what_was_written};
   for (const auto& test : tests) test();
