Replicas that fail frame by frame, and a hold for calls that their client gave up

Need: what gRPC's own servers never do (resets between messages, trailers only, GOAWAY, torn and silent ones) was untested; and a replica that works on after a cancel counted as free at once. Change: a stand-in on libnghttp2; calls.cancel_hold_s (both fronts, off) keeps a given-up call counted as its replica's work; 'decoupled' models may answer with no message; failed calls are told at debug level.

--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -121,6 +121,7 @@
   core::BrokerSettings settings;
   settings.drain_grace = config.drain_grace;
   settings.answer_grace = config.answer_grace;
+  settings.cancel_hold = static_cast<Micros>(file.calls().cancel_hold_s() * 1e6);
   settings.body_budget = (config.memory_mb << 20) / 4;
   std::unique_ptr<membership::Sources> sources;
   if (file.has_membership())
@@ -254,7 +255,8 @@
       log::event(Level::warn, "reload_refused", {{"why", wrong}, {"in_force", "the old configuration"}});
       return;
     }
-    broker.reload(fresh.drain_grace, fresh.answer_grace);
+    broker.reload(fresh.drain_grace, fresh.answer_grace,
+                  static_cast<Micros>(fresh_file.calls().cancel_hold_s() * 1e6));
     http_subchannels.reload(fresh.dial_timeout, fresh.conn_idle);
     if (grpc_subchannels) grpc_subchannels->reload(fresh.dial_timeout);
     if (grpc_front && fresh_file.has_kserve())
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -106,16 +106,20 @@
   return gathered_.empty() ? at : 0;
 }
 
-void Broker::reload(Micros drain_grace, Micros answer_grace) {
+void Broker::reload(Micros drain_grace, Micros answer_grace, Micros cancel_hold) {
   ++counters_.reloads;
   set_.drain_grace = drain_grace;
   set_.answer_grace = answer_grace;
+  set_.cancel_hold = cancel_hold;
 }
 
 void Broker::drain() {
   if (phase_ == Phase::draining || phase_ == Phase::stopped) return;
   phase_ = Phase::draining;
   drain_from_ = clock_.now();
+  for (const auto& [id, rpc] : rpcs_) {
+    for (std::uint32_t i = 0; rpc.over() && i < rpc.calls.size(); ++i) wake(drain_from_, HoldEnd{{id, i}});
+  }
 }
 bool Broker::lingering() const { return phase_ == Phase::draining && now_ < drain_from_ + set_.linger; }
 
@@ -188,7 +192,10 @@
   const auto calls = static_cast<std::uint32_t>(rpc->calls.size());
   for (std::uint32_t i = 0; i < calls; ++i) {
     // Looked up each time: the last call's end drops the RPC.
-    if (Call* call = find_out({e.id, i}, rpc)) cancel_call({e.id, i}, *rpc, *call, Outcome::cancelled);
+    Call* call = find_out({e.id, i}, rpc);
+    if (call != nullptr)
+      set_.cancel_hold > 0 ? hold({e.id, i}, *rpc, *call)
+                           : cancel_call({e.id, i}, *rpc, *call, Outcome::cancelled);
   }
   if ((rpc = find(e.id)) != nullptr) drop_if_done(e.id, *rpc);
 }
@@ -225,13 +232,7 @@
     return cancel_call(e.id, *rpc, *call, Outcome::cancelled);
   }
   if (rpc->bound < 0) {
-    rpc->bound = static_cast<int>(e.id.attempt);
-    pipitcleat::Accepted a;
-    a.id = e.id.rpc;
-    a.attempt = e.id.attempt;
-    a.worker = call->replica;
-    a.latency = to_seconds(now_ - call->sent);
-    module_.on_accepted(to_seconds(now_), a, *this);
+    bind(e.id, *rpc, *call);
     wake(now_ + set_.stall, StallCheck{e.id});
   }
   rpc->last_event = now_;
@@ -246,6 +247,9 @@
   Rpc* rpc = nullptr;
   Call* call = find_out(e.id, rpc);
   if (call == nullptr) return;
+  if (e.outcome == Outcome::ok && rpc->bound < 0 && !rpc->over() && !call->stopped &&
+      rpc->request->may_be_empty)
+    bind(e.id, *rpc, *call);
   end_call(e.id, *rpc, *call, e.outcome, e.kept, std::move(e.report));
 }
 
@@ -305,7 +309,7 @@
     Rpc* rpc = nullptr;
     Call* call = find_out(c->id, rpc);
     // A stream that the client already reads has no time-out any more.
-    if (call == nullptr || rpc->bound == static_cast<int>(c->id.attempt)) return;
+    if (call == nullptr || call->stopped || rpc->bound == static_cast<int>(c->id.attempt)) return;
     cancel_call(c->id, *rpc, *call, Outcome::timeout);
   } else if (const auto* s = std::get_if<StallCheck>(&alarm.what)) {
     Rpc* rpc = nullptr;
@@ -317,6 +321,10 @@
     // better off with a broken stream, whose rest it can ask for, than with a silent one.
     ++counters_.stalled;
     cancel_call(s->id, *rpc, *call, Outcome::reset);
+  } else if (const auto* h = std::get_if<HoldEnd>(&alarm.what)) {
+    Rpc* rpc = nullptr;
+    Call* call = find_out(h->id, rpc);
+    if (call != nullptr && call->held) end_call(h->id, *rpc, *call, Outcome::cancelled, 0, {});
   } else if (const auto* o = std::get_if<Overdue>(&alarm.what)) {
     Rpc* rpc = find(o->id);
     if (rpc == nullptr || rpc->over() || rpc->bound >= 0) return;
@@ -346,6 +354,32 @@
   rpcs_.erase(id);
 }
 
+// The client gets this attempt's answer, and no other's.
+void Broker::bind(CallId id, Rpc& rpc, const Call& call) {
+  rpc.bound = static_cast<int>(id.attempt);
+  pipitcleat::Accepted a;
+  a.id = id.rpc;
+  a.attempt = id.attempt;
+  a.worker = call.replica;
+  a.latency = to_seconds(now_ - call.sent);
+  module_.on_accepted(to_seconds(now_), a, *this);
+}
+
+// Its client is gone, and a replica may well work on: engines often finish what they have begun. The call is
+// given up now; that its place is free the module learns after the hold, or at once in a drain.
+void Broker::hold(CallId id, Rpc& rpc, Call& call) {
+  subchannels(rpc).cancel(id);
+  call.stopped = call.held = true;
+  ++counters_.held;
+  if (!rpc.request->body.empty()) {
+    const auto bare = std::make_shared<RpcRequest>();
+    bare->wire = rpc.request->wire;
+    body_bytes_ -= rpc.request->body.size();
+    rpc.request = bare;
+  }
+  wake(now_ + (phase_ == Phase::draining ? 0 : set_.cancel_hold), HoldEnd{id});
+}
+
 void Broker::cancel_call(CallId id, Rpc& rpc, Call& call, Outcome outcome) {
   subchannels(rpc).cancel(id);
   end_call(id, rpc, call, outcome, 0, {});
@@ -426,7 +460,7 @@
 void Broker::carry_out(const StopAttempt& a) {
   Rpc* rpc = nullptr;
   Call* call = find_out(a.id, rpc);
-  if (call == nullptr || rpc->bound == static_cast<int>(a.id.attempt)) return;
+  if (call == nullptr || call->held || rpc->bound == static_cast<int>(a.id.attempt)) return;
   call->stopped = true;
   // The connection goes now; the outcome is told in the next turn, since the module is not to be called
   // while its actions are carried out.
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -27,6 +27,7 @@
   std::size_t body_budget = 48u << 20;  // bytes of request bodies held at once
   Micros stall = 2 * kSecond;           // a stream without an event for this long has broken
   Micros linger = kSecond;              // how long a draining router goes on taking new RPCs
+  Micros cancel_hold = 0;  // how long a call that its client gave up counts as its replica's work
 };
 
 class Broker final : private pipitcleat::ActionSink {
@@ -58,8 +59,9 @@
   // ---- phases ----
   Phase phase() const { return phase_; }
   bool ready() const { return phase_ == Phase::serving; }
-  std::string unready_because() const;                   // in a few words, while the phase is starting
-  void reload(Micros drain_grace, Micros answer_grace);  // for what happens from now on
+  std::string unready_because() const;  // in a few words, while the phase is starting
+  void reload(Micros drain_grace, Micros answer_grace,
+              Micros cancel_hold = 0);  // for what happens from now on
   void reload_refused() { ++counters_.reloads_refused; }
   void drain();            // SIGTERM: finish what is here, and what still comes, then stop
   bool lingering() const;  // draining, and clients may still come
@@ -72,6 +74,7 @@
     Micros sent = 0;
     bool out = true;
     bool stopped = false;  // given up; its outcome is on the way
+    bool held = false;     // and that comes after the hold
   };
   struct Rpc {
     std::shared_ptr<const RpcRequest> request;
@@ -147,7 +150,10 @@
   struct StallCheck {
     CallId id;
   };
-  using What = std::variant<ModuleAlarm, CallExpiry, Overdue, StallCheck>;
+  struct HoldEnd {
+    CallId id;
+  };
+  using What = std::variant<ModuleAlarm, CallExpiry, Overdue, StallCheck, HoldEnd>;
   struct Alarm {
     Micros at = 0;
     std::uint64_t order = 0;  // equal times ring in the order they were set
@@ -185,6 +191,8 @@
   Subchannels& subchannels(const Rpc& rpc) const;
   void end_call(CallId id, Rpc& rpc, Call& call, pipitcleat::Outcome outcome, std::uint32_t kept,
                 std::vector<float> report);
+  void bind(CallId id, Rpc& rpc, const Call& call);
+  void hold(CallId id, Rpc& rpc, Call& call);
   void cancel_call(CallId id, Rpc& rpc, Call& call, pipitcleat::Outcome outcome);
   std::shared_ptr<Channel> close(Rpc& rpc);  // takes the channel for the one final answer
   void drop_if_done(RpcId id, const Rpc& rpc);
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -21,6 +21,7 @@
   std::uint64_t rejected = 0;               // of them, because a replica could not use the request
   std::uint64_t overdue = 0;                // answered by the core because the module had not by the deadline
   std::uint64_t gone = 0;                   // clients that went away first
+  std::uint64_t held = 0;                   // calls of theirs that count as their replicas' work for a while
   std::uint64_t calls = 0;                  // call attempts sent
   std::uint64_t second_calls = 0;           // of them, after the first attempt of their RPC
   std::array<std::uint64_t, 8> outcomes{};  // of call attempts, by pipitcleat::Outcome
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -42,9 +42,10 @@
   double output_cap = 0.0;
   bool is_retry = false;
   bool resumed = false;
-  Micros patience = 0;   // how long the client waits for the first event
-  std::string trace_id;  // the client's own name for it
-  std::string method;    // opaque to the core: handed on to the subchannel
+  bool may_be_empty = false;  // an answer that ends well without an event is one
+  Micros patience = 0;        // how long the client waits for the first event
+  std::string trace_id;       // the client's own name for it
+  std::string method;         // opaque to the core: handed on to the subchannel
   std::string target;
   std::string body;
   std::vector<std::pair<std::string, std::string>> metadata;  // of the client's, for the replica; opaque too
--- a/src/kserve/front.cpp
+++ b/src/kserve/front.cpp
@@ -261,6 +261,7 @@
     const std::string wrong = config::apply(mapped.labels(), owner_.labels_, rpc);
     if (!wrong.empty()) return wrong;
     rpc.wire = core::Wire::kserve;
+    rpc.may_be_empty = streams_ && model.decoupled;
     rpc.target = context_->method();
     rpc.trace_id = find_metadata(said, kTrace);
     // One name for a whole stream: its later requests need their own beside it.
--- a/src/kserve/models.cpp
+++ b/src/kserve/models.cpp
@@ -56,7 +56,8 @@
                           tensors(m.inputs()),
                           tensors(m.outputs()),
                           m.class_(),
-                          m.tenant()});
+                          m.tenant(),
+                          m.decoupled()});
   }
   const deploy::Mapping& m = file.mapping();
   out.mapping = {field(m.class_()),        field(m.tenant()),        field(m.session()),
--- a/src/kserve/models.h
+++ b/src/kserve/models.h
@@ -22,6 +22,7 @@
   std::vector<std::string> versions;
   std::vector<Tensor> inputs, outputs;
   std::string klass, tenant;                   // of requests that say none
+  bool decoupled = false;                      // may answer with no message
   const std::string& highest_version() const;  // of those listed, in numbers; empty: none is
 };
 struct MappedField {
--- a/src/kserve/subchannels.cpp
+++ b/src/kserve/subchannels.cpp
@@ -148,7 +148,7 @@
     const std::string_view cached = find_metadata(trailing, kCachedTokens);
     std::from_chars(cached.data(), cached.data() + cached.size(), kept);
     Outcome outcome = Outcome::error;
-    if (status.ok() && began_) {
+    if (status.ok() && (began_ || rpc_->may_be_empty)) {
       outcome = Outcome::ok;
     } else if (!began_ && find_metadata(trailing, kNeverRan) == "1") {
       outcome = Outcome::full;
@@ -159,6 +159,11 @@
     } else if (status.error_code() == grpc::StatusCode::UNAVAILABLE) {
       outcome = Outcome::reset;
     }
+    if (!status.ok())
+      log::event(log::Level::debug, "call_failed",
+                 {{"status", static_cast<int>(status.error_code())},
+                  {"began", began_},
+                  {"why", status.error_message()}});
     owner_.calls_.erase(id_);
     if (!began_ && status.error_code() == grpc::StatusCode::INVALID_ARGUMENT)
       return owner_.broker_.call_rejected(id_);
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -284,6 +284,7 @@
   std::string error;
   if (out.has_kserve()) error = check(out.kserve(), root.in("kserve"));
   if (error.empty() && out.has_membership()) error = check(out.membership(), root.in("membership"));
+  if (error.empty()) error = numbers(out.calls(), root.in("calls"), {{"cancel_hold_s", 0, 60}});
   return error;
 }
 
@@ -295,6 +296,7 @@
 
 std::string fixed_part(const deploy::OperatorFile& file) {
   deploy::OperatorFile fixed = file;
+  fixed.clear_calls();
   if (fixed.has_kserve()) {
     fixed.mutable_kserve()->clear_models();
     fixed.mutable_kserve()->clear_mapping();
--- /dev/null
+++ b/tests/h2_replica.cpp
@@ -0,0 +1,186 @@
+#include "h2_replica.h"
+
+#include <nghttp2/nghttp2.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <map>
+#include <vector>
+
+#include "kserve_v2.pb.h"
+
+namespace flintglade::tests {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+std::string framed(
+    const std::string& message) {  // gRPC over HTTP/2: a flag, four octets of length, the message
+  std::string out(5, '\0');
+  for (int i = 0; i < 4; ++i)
+    out[static_cast<std::size_t>(4 - i)] = static_cast<char>(message.size() >> (8 * i));
+  return out + message;
+}
+
+nghttp2_nv header(const char* name, const std::string& value) {
+  return {reinterpret_cast<std::uint8_t*>(const_cast<char*>(name)),
+          reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())), std::strlen(name), value.size(),
+          NGHTTP2_NV_FLAG_NONE};
+}
+
+class H2Replica final : public Replica {
+ public:
+  explicit H2Replica(Words words)
+      : words_(std::move(words)), listener_([this](tcp::socket& s) { serve(s); }) {}
+  ~H2Replica() override {
+    behaviour.stopping = true;
+    listener_.stop();
+  }
+  unsigned short port() const override { return listener_.port(); }
+
+ private:
+  struct Stream {
+    std::string out;  // what of its body is still to go
+    bool asked = false, done = false;
+  };
+  struct Connection {
+    H2Replica& owner;
+    tcp::socket& socket;
+    nghttp2_session* session = nullptr;
+    std::map<std::int32_t, Stream> streams;
+    bool silent = false, close = false;
+  };
+
+  std::string word(const std::string& name, const std::string& otherwise) const {
+    const auto it = words_.find(name);
+    return it == words_.end() ? otherwise : it->second;
+  }
+  std::string messages(int from, int n) const {
+    std::string out;
+    for (int i = from; i < from + n; ++i) {
+      inference::ModelStreamInferResponse event;
+      event.mutable_infer_response()->set_model_version(std::to_string(i));
+      out += framed(event.SerializeAsString());
+    }
+    return out;
+  }
+
+  void serve(tcp::socket& socket) {
+    Connection c{*this, socket, nullptr, {}, false, false};
+    nghttp2_session_callbacks* callbacks = nullptr;
+    nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_session_callbacks_set_send_callback(
+        callbacks,
+        [](nghttp2_session*, const std::uint8_t* data, std::size_t size, int, void* user) -> ssize_t {
+          boost::system::error_code ec;
+          asio::write(static_cast<Connection*>(user)->socket, asio::buffer(data, size), ec);
+          return ec ? static_cast<ssize_t>(NGHTTP2_ERR_CALLBACK_FAILURE) : static_cast<ssize_t>(size);
+        });
+    nghttp2_session_callbacks_set_on_frame_recv_callback(
+        callbacks, [](nghttp2_session*, const nghttp2_frame* frame, void* user) {
+          const bool body = frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
+          auto& conn = *static_cast<Connection*>(user);
+          if (body && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0)
+            conn.owner.asked(conn, frame->hd.stream_id);
+          return 0;
+        });
+    nghttp2_session_server_new(&c.session, callbacks, &c);
+    nghttp2_session_callbacks_del(callbacks);
+    nghttp2_submit_settings(c.session, NGHTTP2_FLAG_NONE, nullptr, 0);
+    std::array<std::uint8_t, 16384> bytes;
+    boost::system::error_code ec;
+    nghttp2_session_send(c.session);
+    while (!c.close) {
+      const std::size_t n = socket.read_some(asio::buffer(bytes), ec);
+      if (ec) break;
+      if (c.silent) continue;
+      if (nghttp2_session_mem_recv(c.session, bytes.data(), n) < 0 || nghttp2_session_send(c.session) != 0)
+        break;
+      if (c.silent) continue;
+      for (auto& [id, stream] : c.streams) {
+        if (stream.asked && !stream.done && stream.out.empty()) after(c, id, stream);
+      }
+      if (nghttp2_session_send(c.session) != 0) break;
+    }
+    nghttp2_session_del(c.session);
+  }
+
+  void asked(Connection& c, std::int32_t id) {
+    ++behaviour.calls;
+    const std::string& kind = behaviour.kind;
+    const int n = behaviour.events;
+    Stream& stream = c.streams[id];
+    stream.asked = true;
+    if (kind == "h2.silent") {
+      c.silent = true;
+      return;
+    }
+    if (kind == "h2.going") {
+      nghttp2_submit_goaway(c.session, NGHTTP2_FLAG_NONE, 0, NGHTTP2_NO_ERROR, nullptr, 0);
+      stream.done = true;
+      return;
+    }
+    stream.out = messages(0, n);
+    if (kind == "h2.goaway") {
+      nghttp2_submit_goaway(c.session, NGHTTP2_FLAG_NONE, id, NGHTTP2_NO_ERROR, nullptr, 0);
+      stream.out += messages(n, n);
+    }
+    if (kind == "h2.big") stream.out = framed(std::string(300 << 10, 'x'));
+    if (kind == "h2.torn") stream.out = framed(std::string(100, 'x')).substr(0, 50);
+    // No message first: what comes next comes alone, without headers of its own.
+    if (!stream.out.empty()) respond(c, id);
+  }
+
+  void respond(Connection& c, std::int32_t id) {
+    const std::string status = "200", type = "application/grpc";
+    const std::array<nghttp2_nv, 2> head{header(":status", status), header("content-type", type)};
+    nghttp2_data_provider provider;
+    provider.source.ptr = nullptr;
+    provider.read_callback = [](nghttp2_session*, std::int32_t stream_id, std::uint8_t* to, std::size_t room,
+                                std::uint32_t*, nghttp2_data_source*, void* user) -> ssize_t {
+      std::string& out = static_cast<Connection*>(user)->streams[stream_id].out;
+      const std::size_t n = std::min(room, out.size());
+      if (n == 0) return NGHTTP2_ERR_DEFERRED;  // until after() says how it goes on
+      std::memcpy(to, out.data(), n);
+      out.erase(0, n);
+      return static_cast<ssize_t>(n);
+    };
+    nghttp2_submit_response(c.session, id, head.data(), head.size(), &provider);
+  }
+
+  // All its messages are on the wire.
+  void after(Connection& c, std::int32_t id, Stream& stream) {
+    stream.done = true;
+    const std::string& kind = behaviour.kind;
+    // gRPC lets go of messages that it has not handed over when a reset overtakes them.
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    if (kind == "h2.rst") {
+      nghttp2_submit_rst_stream(c.session, NGHTTP2_FLAG_NONE, id,
+                                static_cast<std::uint32_t>(std::stoi(word("code", "8"))));
+    } else if (kind == "h2.close") {
+      c.close = true;
+    } else {
+      const std::string status = "200", type = "application/grpc", code = word("status", "0");
+      const bool alone = kind == "h2.trailers" && behaviour.events == 0;
+      const std::array<nghttp2_nv, 3> head{header(":status", status), header("content-type", type),
+                                           header("grpc-status", code)};
+      if (alone) {
+        nghttp2_submit_headers(c.session, NGHTTP2_FLAG_END_STREAM, id, nullptr, head.data(), head.size(),
+                               nullptr);
+      } else {
+        nghttp2_submit_trailer(c.session, id, &head[2], 1);
+      }
+    }
+  }
+
+  Words words_;
+  Listener listener_;
+};
+
+}  // namespace
+
+std::unique_ptr<Replica> make_h2_replica(const Words& words) { return std::make_unique<H2Replica>(words); }
+
+}  // namespace flintglade::tests
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -253,6 +253,11 @@
       return program.fails(unescape(a));
     }
     if (verb == "cert") return cert(a, in);
+    if (verb == "rounds") {
+      int n = 0;
+      in >> n;
+      return rounds(a, n);
+    }
     if (verb == "conformance") return conformance(a, in);
     if (verb == "describes") {
       in >> b >> c;
@@ -274,14 +279,17 @@
       for (std::string word; in >> word;) sources_.push_back(word);
       return;
     }
-    if (verb == "rule" || verb == "resolver" || verb == "kserve") {
+    if (verb == "rule" || verb == "resolver" || verb == "kserve" || verb == "operator") {
       std::string rest;
       std::getline(in, rest);
       if (a == "anew") {  // forgets what was set before
         kserve_ = rest;
         return;
       }
-      (verb == "rule" ? rule_ : verb == "kserve" ? kserve_ : resolver_) += " " + a + rest;
+      (verb == "operator" ? operator_
+       : verb == "rule"   ? rule_
+       : verb == "kserve" ? kserve_
+                          : resolver_) += " " + a + rest;
       return;
     }
     if (verb == "quiet" || verb == "busy") {
@@ -426,7 +434,7 @@
   }
   std::string membership() {
     std::vector<std::string> sources = sources_;
-    if (sources.empty() && zones_.empty()) return "";
+    if (sources.empty() && zones_.empty()) return operator_;
     if (sources.empty()) {
       sources = zones_;
       sources.insert(sources.begin(), "list");
@@ -441,7 +449,7 @@
            "\" timeout_s: 0.2 least_ttl_s: 0.1" + resolver_ + " }\n";
     // Spans that a test can wait for, unless it sets its own.
     out += "rule { return_s: 0.5 spill_hold_s: 0.5" + rule_;
-    return out + (rule_.find("guard_s") == std::string::npos ? " guard_s: 2" : "") + " }\n}\n";
+    return out + (rule_.find("guard_s") == std::string::npos ? " guard_s: 2" : "") + " }\n}\n" + operator_;
   }
   // Whether a replica gets new work, over both wires: requests of as many sessions as reach every replica.
   void spread(const std::vector<std::string>& names, bool some) {
@@ -463,6 +471,25 @@
       if ((calls(i) > 0) != some) wrong(names[i] + " had " + std::to_string(calls(i)) + " calls");
     }
   }
+  // A replica comes and drains, over and over, b beside it: what is asked once its drain is known goes to b.
+  void rounds(const std::string& name, int n) {
+    long news = program().counter("list_news");
+    for (int i = 0; i < n; ++i) {
+      for (const char* state : {"ready", "draining"}) {
+        std::istringstream entries(name + "=" + state + " b=ready");
+        list(entries);
+        until("the news", [&] { return program().counter("list_news") > news; });
+        news = program().counter("list_news");
+      }
+      const int before = replica(name).behaviour.calls;
+      for (int k = 0; k < 4; ++k) {
+        const std::string id = "round" + std::to_string(i) + "-" + std::to_string(k);
+        const auto client = make_client(protocol_, port_, id, {{"session", std::to_string(i * 7919 + k)}});
+        if (const std::string verdict = client->verdict(); verdict != "served") wrong(id + " was " + verdict);
+      }
+      if (replica(name).behaviour.calls != before) wrong("round " + std::to_string(i) + ": a call to it");
+    }
+  }
   // So many streams with a request each, dropped as soon as it has begun, some hundred at a time.
   void storm(int streams) {
     for (int n = 0; n < streams;) {
@@ -634,7 +661,7 @@
   Discovery discovery_;
   std::unique_ptr<DnsServer> dns_;
   std::vector<std::string> zones_, sources_;
-  std::string rule_, resolver_, kserve_, certs_;
+  std::string rule_, resolver_, kserve_, operator_, certs_;
   int spread_ = 0;
   std::map<std::string, std::unique_ptr<Replica>> replicas_;
   std::unique_ptr<Program> program_;
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -10,6 +10,8 @@
 //       hang        nothing            error    fails       full    turns away: it never ran
 //       refuse      nobody listens     reject  cannot use the request
 //       says BYTES  these to its first request over HTTP (\r, \n and _ for a space), then as stream 1
+//       none        an answer without any event, whole
+//       h2.KIND     as tests/h2_replica.h has them
 //   list NAME=STATE ...          discovery's list: ready, draining or gone; further lines are changes
 //   discovery down | silent      no more connections | connections, but not a word
 //   reload [bad]                 SIGHUP; discovery has moved to another address, or the file cannot be read
@@ -17,8 +19,8 @@
 //   before
 //       the start is a source beside the list; '.' for a target says: not offered
 //   dns ZONE ttl N | glue off | many N | evil NAME | fault [KIND [N]]     as tests/dns_server.h has them; no
-//   KIND: well again sources NAME ...             instead: just these (list, or a zone) rule TEXT | resolver
-//   TEXT into the operator's file, in its own form reload operator              SIGHUP, with
+//   KIND: well again sources NAME ...             instead: just these (list, or a zone) rule TEXT | operator
+//   TEXT | resolver TEXT into the operator's file, in its own form reload operator              SIGHUP, with
 //   the operator's file as it would be written now quiet NAME                   40 requests, all served, none
 //   by that replica busy NAME                    40 requests, all served, some by that replica pause MS
 //   resolved WORDS               'flintglade resolve' prints a line that has all of these start [SOCKETS] the
@@ -38,6 +40,7 @@
 //       forgets what was set before. 'send' and 'replica' take cert=NAME and trust=NAME
 //   conformance router|REPLICA [CHECK]... [--OPTION=X]...     just these checks fail or are skipped
 //   describes MODEL WORDS [VERSION]     until ModelMetadata has these words; or its status
+//   rounds NAME N                N times: it comes, drains, and is not asked any more; b beside it serves
 //   start_fails WORDS            the program ends with status 1 and one plain line that has these words
 //   logged WORD                  until its log has it
 //   stop                         SIGTERM, and a clean exit
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -11,6 +11,7 @@
 #include <future>
 
 #include "certs.h"
+#include "h2_replica.h"
 #include "kserve/names.h"
 #include "kserve_v2.grpc.pb.h"
 
@@ -339,7 +340,8 @@
  public:
   GrpcClient(unsigned short port, const std::string& id, const Words& words) {
     shy = words.count("shy") != 0;
-    stub_ = inference::GRPCInferenceService::NewStub(channel_to(port, words));
+    channel_ = channel_to(port, words);
+    stub_ = inference::GRPCInferenceService::NewStub(channel_);
     // 'plain': a client that knows nothing of this router.
     if (words.count("plain") == 0) label(words);
     inference::ModelInferRequest request;
@@ -364,6 +366,10 @@
     }
     if (words.count("gzip") != 0) context_.set_compression_algorithm(GRPC_COMPRESS_GZIP);
     request.set_model_version(get(words, "version", ""));
+    if (words.count("twice") != 0) {
+      thread_ = std::thread([this, request] { twice(request); });
+      return;
+    }
     const bool unary = words.count("unary") != 0;
     thread_ = std::thread([this, request, unary] { unary ? infer(request) : stream(request); });
   }
@@ -396,6 +402,30 @@
     events = status.ok() ? 1 : 0;
     finish(status);
   }
+  // Two messages on a call that has one.
+  void twice(const inference::ModelInferRequest& request) {
+    struct Reactor : grpc::ClientBidiReactor<grpc::ByteBuffer, grpc::ByteBuffer> {
+      std::promise<grpc::Status> status;
+      int writes = 0, reads = 0;
+      grpc::ByteBuffer out, in;
+      void OnWriteDone(bool ok) override {
+        if (ok && ++writes < 2) StartWriteLast(&out, {});
+      }
+      void OnReadDone(bool ok) override {
+        if (ok && ++reads > 0) StartRead(&in);
+      }
+      void OnDone(const grpc::Status& s) override { status.set_value(s); }
+    } reactor;
+    reactor.out = kserve::to_buffer(request.SerializeAsString());
+    grpc::TemplatedGenericStub<grpc::ByteBuffer, grpc::ByteBuffer> stub(channel_);
+    stub.PrepareBidiStreamingCall(&context_, std::string(kserve::kInfer), {}, &reactor);
+    reactor.StartWrite(&reactor.out);
+    reactor.StartRead(&reactor.in);
+    reactor.StartCall();
+    const grpc::Status status = reactor.status.get_future().get();
+    events = reactor.reads;
+    finish(status);
+  }
   void stream(const inference::ModelInferRequest& request) {
     const auto call = stub_->ModelStreamInfer(&context_);
     call->Write(request);
@@ -440,6 +470,7 @@
     }
     done_ = true;
   }
+  std::shared_ptr<grpc::Channel> channel_;
   std::unique_ptr<inference::GRPCInferenceService::Stub> stub_;
   grpc::ClientContext context_;
   std::string verdict_;
@@ -463,10 +494,10 @@
   if (kind == "full") return End::turned_away;
   if (kind == "gated" && !emit(0)) return End::broken;  // one event at least, released or not
   if (kind == "gated") return wait_until(released, true) ? End::whole : End::broken;
-  for (int n = 0; n < events && kind != "hang"; ++n) {
+  for (int n = 0; n < events && kind != "hang" && kind != "none"; ++n) {
     if (!emit(n)) return End::broken;
   }
-  if (kind == "stream" || kind == "flood") return End::whole;
+  if (kind == "stream" || kind == "flood" || kind == "none") return End::whole;
   if (kind == "break")
     std::this_thread::sleep_for(50ms);  // so that the events are not overtaken by the break
   if (kind != "break") wait_until(stopping, false);
@@ -512,6 +543,8 @@
   std::unique_ptr<Replica> out;
   if (kind == "refuse") {
     out = std::make_unique<DeadReplica>();
+  } else if (kind.rfind("h2.", 0) == 0) {
+    out = make_h2_replica(words);
   } else if (protocol == Protocol::http) {
     out = std::make_unique<HttpReplica>();
   } else {
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -194,6 +194,56 @@
   CHECK(c.broker->counters().outcomes[static_cast<int>(Outcome::cancelled)] == 1);
 }
 
+// A replica works on though its client is gone: its place is free for the module only after the hold, or at
+// once when the router itself goes down.
+void a_given_up_call_counts_for_a_while() {
+  Core c;
+  c.broker->reload(c.limits.drain_grace, c.limits.answer_grace, 2 * core::kSecond);
+  const auto cancelled = [&] { return c.broker->counters().outcomes[static_cast<int>(Outcome::cancelled)]; };
+  core::RpcId id = 0;
+  const auto answer = c.send(id, 1000);
+  c.broker->call_events({id, 0}, "a");
+  c.broker->client_gone(id);
+  c.broker->turn();
+  CHECK(answer->end.empty() && c.ports.cancelled.size() == 1 && cancelled() == 0);
+  c.pass_time(1900 * core::kMilli);
+  CHECK(cancelled() == 0 && c.broker->counters().held == 1);
+  c.pass_time(200 * core::kMilli);
+  CHECK(cancelled() == 1);
+  c.send(id);
+  c.broker->client_gone(id);
+  c.broker->turn();
+  c.broker->call_ended({id, 0}, Outcome::reset);  // its replica says so before the hold is over
+  c.broker->turn();
+  CHECK(c.broker->counters().outcomes[static_cast<int>(Outcome::reset)] == 1);
+  c.pass_time(3 * core::kSecond);
+  CHECK(cancelled() == 1);
+  c.send(id);
+  c.broker->client_gone(id);
+  c.broker->turn();
+  c.broker->drain();
+  c.pass_time(c.limits.linger + 10 * core::kMilli);
+  CHECK(c.broker->phase() == core::Phase::stopped && c.broker->open_rpcs() == 0);
+}
+
+// An answer without any event is one only where the request says that it may be.
+void an_empty_answer_is_one_where_it_may_be() {
+  for (const bool may : {true, false}) {
+    Core c;
+    auto rpc = std::make_shared<core::RpcRequest>();
+    rpc->patience = 5 * core::kSecond;
+    rpc->trace_id = "e";
+    rpc->may_be_empty = may;
+    const auto answer = std::make_shared<Answer>();
+    const core::RpcId id = c.broker->arrived(rpc, answer);
+    c.broker->turn();
+    c.broker->call_ended({id, 0}, Outcome::ok);
+    c.broker->turn();
+    CHECK((answer->end == "finish") == may && answer->text.empty());
+    CHECK(c.broker->counters().served == (may ? 1u : 0u));
+  }
+}
+
 void the_first_word_of_a_drain_counts() {
   Core c;
   CHECK(c.ports.no_new_after == core::kNever);
@@ -590,6 +640,8 @@
                                          every_rpc_is_answered_by_its_deadline,
                                          an_rpc_that_is_given_up_is_answered_at_once,
                                          a_gone_client_ends_its_call,
+                                         a_given_up_call_counts_for_a_while,
+                                         an_empty_answer_is_one_where_it_may_be,
                                          the_first_word_of_a_drain_counts,
                                          bodies_are_a_budget,
                                          draining_waits_for_what_is_open,
