Bound the clients' connections of the KServe front, and time out those that say nothing

Need: gRPC bounds no connections, so clients could take every descriptor of the process. Change: the front accepts itself and hands on at most limits.connections (64); one too many is closed at once. Their ends are seen through copies in an epoll of its own, two descriptors each, which the start sets aside. Handshakes have first_request_s; connection_idle_s closes idle ones (off). Measured: scenarios connections (256 descriptors, third of two refused, freed places taken again) and pings pass.

--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -33,8 +33,8 @@
 using log::Level;
 
 // Descriptors outside the HTTP pools: the standard streams, the loop's own, listener and discovery, and some
-// spare; and what gRPC is likely to want where its front is on.
-constexpr std::size_t kSpareDescriptors = 32, kGrpcDescriptors = 192;
+// spare; and what gRPC is likely to want beside its clients' connections.
+constexpr std::size_t kSpareDescriptors = 32, kGrpcDescriptors = 64;
 // The rest is shared by both sides: replicas may always have this part of it, and clients what replicas
 // leave, with some room for calls to come. Clients by the hundreds that say nothing would fill a fixed half.
 constexpr double kReplicaPart = 0.28;
@@ -112,7 +112,9 @@
   MonotonicClock clock;
   const std::size_t reserved = std::min(
       config.sockets / 2,
-      kSpareDescriptors + (file.has_kserve() ? kGrpcDescriptors : 0) +
+      kSpareDescriptors +
+          (file.has_kserve() ? kGrpcDescriptors + 2 * kserve::front_settings(file.kserve()).limits.connections
+                             : 0) +
           membership::resolver_settings(file.membership().resolver()).outstanding * file.has_membership());
   const std::size_t shared = config.sockets - reserved;
   const auto replica_part = static_cast<std::size_t>(static_cast<double>(shared) * kReplicaPart);
@@ -214,6 +216,8 @@
       fields.emplace_back("kserve_open_calls", grpc_front->open_calls());
       fields.emplace_back("kserve_streams_refused", grpc_front->counters().streams_refused);
       fields.emplace_back("kserve_silent_calls", grpc_front->counters().silent_calls);
+      fields.emplace_back("kserve_connections", grpc_front->connections().open());
+      fields.emplace_back("kserve_connections_refused", grpc_front->connections().refused());
       fields.emplace_back("kserve_descriptions_asked", grpc_front->counters().descriptions_asked);
       fields.emplace_back("kserve_descriptions_failed", grpc_front->counters().descriptions_failed);
       fields.emplace_back("kserve_denied", grpc_front->counters().denied);
--- a/src/kserve/front.cpp
+++ b/src/kserve/front.cpp
@@ -483,6 +483,13 @@
       labels_(std::move(labels)),
       name_(std::move(name)),
       keys_(keys),
+      connections_(io, file_.limits.connections,
+                   [this](int fd) {
+                     grpc::experimental::ExternalConnectionAcceptor::NewConnectionParameters connection;
+                     connection.listener_fd = -1;
+                     connection.fd = fd;
+                     acceptor_->HandleNewConnection(&connection);
+                   }),
       health_(io),
       descriptions_({file_.replica_metadata.entries, static_cast<Micros>(file_.replica_metadata.ttl_s * 1e6),
                      static_cast<Micros>(file_.replica_metadata.stale_s * 1e6)}) {}
@@ -555,11 +562,11 @@
   grpc::EnableDefaultHealthCheckService(true);
   if (file_.reflection) grpc::reflection::InitProtoReflectionServerBuilderPlugin();
   grpc::ServerBuilder builder;
-  const std::string at = config::host_port(file_.listen.host, file_.listen.port);
   // The server's handshakes ask the credentials for keys as long as it runs; the builder lets go of them.
   credentials_ = keys_ == nullptr ? grpc::InsecureServerCredentials()
                                   : server_credentials(*keys_, !keys_->current().roots.empty());
-  builder.AddListeningPort(at, credentials_, &port_);
+  acceptor_ = builder.experimental().AddExternalConnectionAcceptor(
+      grpc::ServerBuilder::experimental_type::ExternalConnectionType::FROM_FD, credentials_);
   builder.SetMaxReceiveMessageSize(kLargestMessage);
   const Limits& limits = file_.limits;
   const auto millis = [](double seconds) { return static_cast<int>(seconds * 1e3); };
@@ -571,14 +578,19 @@
   builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
                              millis(limits.least_ping_s));
   builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 2);
-  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  // Until its handshake is over, of TLS and of HTTP/2, a connection has this long.
+  builder.AddChannelArgument(GRPC_ARG_SERVER_HANDSHAKE_TIMEOUT_MS, millis(limits.first_request_s));
+  if (limits.connection_idle_s > 0.0)
+    builder.AddChannelArgument(GRPC_ARG_MAX_CONNECTION_IDLE_MS, millis(limits.connection_idle_s));
   grpc::ResourceQuota quota("flintglade-kserve");
   quota.Resize(limits.transport_mb << 20);
   builder.SetResourceQuota(quota);
   builder.RegisterService(standard_.get());
   builder.RegisterCallbackGenericService(infer_.get());
   server_ = builder.BuildAndStart();
-  if (!server_ || port_ == 0) return "kserve: cannot listen on " + at;
+  if (!server_) return "kserve: the server does not start";
+  const std::string error = connections_.listen(file_.listen, port_);
+  if (!error.empty()) return error;
   tell_health();
   return "";
 }
@@ -594,6 +606,8 @@
   fresh.limits.transport_mb = built.transport_mb;
   fresh.limits.connection_age_s = built.connection_age_s;
   fresh.limits.least_ping_s = built.least_ping_s;
+  fresh.limits.connection_idle_s = built.connection_idle_s;
+  connections_.most(fresh.limits.connections);
   file_ = std::move(fresh);
 }
 
@@ -627,6 +641,7 @@
 void GrpcFront::stop() {
   if (!server_) return;
   close_idle();
+  connections_.stop();
   // Shutdown waits for calls whose ends are posted to the loop, so it waits beside the loop.
   std::atomic<bool> down = false;
   std::thread waiter([this, &down] {
--- a/src/kserve/front.h
+++ b/src/kserve/front.h
@@ -4,6 +4,7 @@
 
 #include <grpcpp/security/server_credentials.h>
 #include <grpcpp/server.h>
+#include <grpcpp/server_builder.h>
 
 #include <atomic>
 #include <boost/asio.hpp>
@@ -16,6 +17,7 @@
 
 #include "config/labels.h"
 #include "core/broker.h"
+#include "kserve/connections.h"
 #include "kserve/descriptions.h"
 #include "kserve/models.h"
 #include "tls/keeper.h"
@@ -44,6 +46,7 @@
   };
   const Counters& counters() const { return counters_; }
   std::size_t open_calls() const { return calls_.size(); }
+  const Connections& connections() const { return connections_; }
   // Ends streams on which no RPC is open; none will come any more.
   void close_idle();
   // Runs the loop until gRPC has let go of every call, at most for a second.
@@ -74,6 +77,8 @@
   std::unique_ptr<Standard> standard_;
   std::unique_ptr<Infer> infer_;
   std::shared_ptr<grpc::ServerCredentials> credentials_;
+  std::unique_ptr<grpc::experimental::ExternalConnectionAcceptor> acceptor_;  // gRPC's end of connections_
+  Connections connections_;
   std::unique_ptr<grpc::Server> server_;
   int port_ = 0;
   bool closing_ = false;
--- a/src/kserve/models.cpp
+++ b/src/kserve/models.cpp
@@ -74,6 +74,8 @@
   if (l.has_first_request_s()) out.limits.first_request_s = l.first_request_s();
   if (l.has_connection_age_s()) out.limits.connection_age_s = l.connection_age_s();
   if (l.has_least_ping_s()) out.limits.least_ping_s = l.least_ping_s();
+  if (l.has_connections()) out.limits.connections = l.connections();
+  if (l.has_connection_idle_s()) out.limits.connection_idle_s = l.connection_idle_s();
   if (l.has_replica_ping_s()) out.limits.replica_ping_s = l.replica_ping_s();
   if (file.has_stream_requests()) out.stream_requests = file.stream_requests();
   const deploy::ReplicaMetadata& said = file.replica_metadata();
--- a/src/kserve/models.h
+++ b/src/kserve/models.h
@@ -34,8 +34,9 @@
   MappedField klass, tenant, session, prefix, prompt_tokens, prefix_tokens, output_tokens, timeout_us;
 };
 struct Limits {
-  std::size_t streams = 2048, streams_per_connection = 256, transport_mb = 32;
-  double first_request_s = 5.0, connection_age_s = 0.0, least_ping_s = 5.0, replica_ping_s = 0.0;
+  std::size_t streams = 2048, streams_per_connection = 256, transport_mb = 32, connections = 64;
+  double first_request_s = 5.0, connection_age_s = 0.0, least_ping_s = 5.0, replica_ping_s = 0.0,
+         connection_idle_s = 0.0;
 };
 struct DescriptionLimits {
   bool on = false;
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -158,7 +158,9 @@
                      {"first_request_s", 0.05, 3600},
                      {"connection_age_s", 0, 604800},
                      {"least_ping_s", 0.01, 3600},
-                     {"replica_ping_s", 0, 3600}});
+                     {"replica_ping_s", 0, 3600},
+                     {"connections", 1, 4096},
+                     {"connection_idle_s", 0, 604800}});
   if (error.empty())
     error = numbers(kserve.replica_metadata(), at.in("replica_metadata"),
                     {{"entries", 1, 4096}, {"ttl_s", 0, 86400}, {"stale_s", 0, 604800}});
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -253,6 +253,7 @@
       return program.fails(unescape(a));
     }
     if (verb == "cert") return cert(a, in);
+    if (verb == "forget") return void(clients_.erase(a));
     if (verb == "rounds") {
       int n = 0;
       in >> n;
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -41,7 +41,8 @@
 //   conformance router|REPLICA [CHECK]... [--OPTION=X]...     just these checks fail or are skipped
 //   describes MODEL WORDS [VERSION]     until ModelMetadata has these words; or its status
 //   rounds NAME N                N times: it comes, drains, and is not asked any more; b beside it serves
-//   start_fails WORDS            the program ends with status 1 and one plain line that has these words
+//   forget ID                    the client is gone, and its connection if it had one of its own ('send ID
+//   own') start_fails WORDS            the program ends with status 1 and one plain line that has these words
 //   logged WORD                  until its log has it
 //   stop                         SIGTERM, and a clean exit
 #pragma once
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -58,8 +58,14 @@
 }
 std::shared_ptr<grpc::Channel> channel_to(unsigned short port, const Words& words) {
   const std::string at = "ipv4:127.0.0.1:" + std::to_string(port);
-  if (words.count("trust") == 0) return grpc::CreateChannel(at, grpc::InsecureChannelCredentials());
   grpc::ChannelArguments args;
+  if (words.count("own") != 0) args.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);  // a connection of its own
+  if (words.count("ping") != 0) {
+    args.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, std::stoi(get(words, "ping", "")));
+    args.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+  }
+  if (words.count("trust") == 0)
+    return grpc::CreateCustomChannel(at, grpc::InsecureChannelCredentials(), args);
   args.SetSslTargetNameOverride(get(words, "name", "127.0.0.1"));
   return grpc::CreateCustomChannel(
       at,
