--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -265,7 +265,12 @@
     if (grpc_subchannels) grpc_subchannels->reload(fresh.dial_timeout);
     if (grpc_front && fresh_file.has_kserve())
       grpc_front->reload(kserve::front_settings(fresh_file.kserve()));
-    if (fresh_file.has_kserve()) load_keys(io, fresh_file.kserve(), front_keys, replica_keys, true);
+    if (fresh_file.has_kserve()) {
+      // Tried out a moment ago: only a file that changed since can fail here, and the next look tells it
+      // again.
+      const std::string failed = load_keys(io, fresh_file.kserve(), front_keys, replica_keys, true);
+      if (!failed.empty()) log::event(Level::warn, "tls_refused", {{"why", failed}});
+    }
     if (sources && fresh_file.has_membership())
       sources->reload(fresh_file.membership(), std::move(fresh_specs));
     watch.move(fresh.discovery);
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -582,10 +582,11 @@
   void list(std::istringstream& in) {
     std::string entries;
     for (std::string word; in >> word;) {
-      const std::string name = word.substr(0, word.find('=')), state = word.substr(word.find('=') + 1);
+      const std::string who = word.substr(0, word.find('=')), state = word.substr(word.find('=') + 1);
+      const std::string name = who.substr(who.find('@') + 1);  // heir@a: another replica, at a's address
       const char* as = state == "ready" ? "Ready" : state == "draining" ? "Terminating" : "Gone";
       if (!entries.empty()) entries += ",";
-      entries += "{\"uid\":\"s-" + name +
+      entries += "{\"uid\":\"s-" + who.substr(0, who.find('@')) +
                  "\",\"endpoint\":\"127.0.0.1:" + std::to_string(replica(name).port()) +
                  "\",\"az\":\"hall\",\"model\":\"gpu\",\"pod_group\":0,\"state\":\"" + as +
                  "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
