Refuse compressed requests unless the operator allows them: 200 KB unfolded to 200 MB

Cause: gRPC unfolds a message before it measures it, so one small request took the KServe front past any memory limit. Change: 'gzip' in the operator's file, off; without it a compressed request is UNIMPLEMENTED.

--- a/src/kserve/front.cpp
+++ b/src/kserve/front.cpp
@@ -96,7 +96,7 @@
     StartRead(&in_);
     post([this] {
       owner_.calls_.insert(self_);
-      if (owner_.file_.gzip_answers) context_->set_compression_level(GRPC_COMPRESS_LEVEL_MED);
+      if (owner_.file_.gzip) context_->set_compression_level(GRPC_COMPRESS_LEVEL_MED);
       if (owner_.closing_) return end(Status(StatusCode::UNAVAILABLE, "going down"));
       if (owner_.calls_.size() > owner_.file_.limits.streams) {
         ++owner_.counters_.streams_refused;
@@ -570,6 +570,10 @@
   acceptor_ = builder.experimental().AddExternalConnectionAcceptor(
       grpc::ServerBuilder::experimental_type::ExternalConnectionType::FROM_FD, credentials_);
   builder.SetMaxReceiveMessageSize(kLargestMessage);
+  // Seen: 200 KB of gzip that unfold to 200 MB took the process there. Only messages as they are, unless
+  // asked for.
+  for (const auto algorithm : {GRPC_COMPRESS_GZIP, GRPC_COMPRESS_DEFLATE})
+    builder.SetCompressionAlgorithmSupportStatus(algorithm, file_.gzip);
   const Limits& limits = file_.limits;
   const auto millis = [](double seconds) { return static_cast<int>(seconds * 1e3); };
   builder.AddChannelArgument(GRPC_ARG_MAX_CONCURRENT_STREAMS,
@@ -601,6 +605,7 @@
   fresh.listen = file_.listen;
   fresh.replica_port = file_.replica_port;
   fresh.reflection = file_.reflection;
+  fresh.gzip = file_.gzip;
   fresh.replica_metadata = file_.replica_metadata;
   // What the server was built with stays; the rest of the limits change.
   const Limits built = file_.limits;
--- a/src/kserve/models.cpp
+++ b/src/kserve/models.cpp
@@ -84,7 +84,7 @@
   if (said.has_ttl_s()) out.replica_metadata.ttl_s = said.ttl_s();
   if (said.has_stale_s()) out.replica_metadata.stale_s = said.stale_s();
   out.fill_version = file.fill_version();
-  out.gzip_answers = file.gzip_answers();
+  out.gzip = file.gzip();
   out.tls = file.has_tls();
   out.bound_only = file.tls().bound_only();
   for (const deploy::Bound& b : file.tls().bound()) out.bound.push_back({b.san(), b.tenant(), b.class_()});
--- a/src/kserve/models.h
+++ b/src/kserve/models.h
@@ -56,7 +56,7 @@
   std::size_t stream_requests = 16;
   Limits limits;
   DescriptionLimits replica_metadata;
-  bool fill_version = false, gzip_answers = false;
+  bool fill_version = false, gzip = false;
   bool tls = false, bound_only = false;
   std::vector<Bound> bound;
 
--- a/src/kserve/subchannels.cpp
+++ b/src/kserve/subchannels.cpp
@@ -1,5 +1,6 @@
 #include "kserve/subchannels.h"
 
+#include <grpc/compression.h>
 #include <grpcpp/create_channel.h>
 #include <grpcpp/generic/generic_stub.h>
 
@@ -42,6 +43,7 @@
     args.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);  // as long as the call is open
   }
   args.SetMaxReceiveMessageSize(kLargestMessage);
+  args.SetInt(GRPC_COMPRESSION_CHANNEL_ENABLED_ALGORITHMS_BITSET, 1 << GRPC_COMPRESS_NONE);
   if (set.keys == nullptr) return grpc::CreateCustomChannel(target, grpc::InsecureChannelCredentials(), args);
   args.SetSslTargetNameOverride(set.server_name.empty() ? host : set.server_name);
   return grpc::CreateCustomChannel(target, channel_credentials(*set.keys), args);
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -306,7 +306,6 @@
     fixed.mutable_kserve()->clear_pass_metadata();
     fixed.mutable_kserve()->clear_errors_in_band();
     fixed.mutable_kserve()->clear_fill_version();
-    fixed.mutable_kserve()->clear_gzip_answers();
     fixed.mutable_kserve()->clear_stream_requests();
     // Certificates are read anew; whether there are any does not change, nor whether clients need one.
     if (fixed.kserve().has_tls()) {
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -462,6 +462,9 @@
       case grpc::StatusCode::NOT_FOUND:
         verdict_ = "missing";
         break;
+      case grpc::StatusCode::UNIMPLEMENTED:
+        verdict_ = "unsupported";
+        break;
       case grpc::StatusCode::PERMISSION_DENIED:
         verdict_ = "denied";
         break;
