--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -12,7 +12,8 @@
 //       says BYTES  these to its first request over HTTP (\r, \n and _ for a space), then as stream 1
 //       none        an answer without any event, whole
 //       h2.KIND     as tests/h2_replica.h has them
-//   list NAME=STATE ...          discovery's list: ready, draining or gone; further lines are changes; heir@NAME:
+//   list NAME=STATE ...          discovery's list: ready, draining or gone; further lines are changes;
+//   heir@NAME:
 //       another replica at NAME's address
 //   discovery down | silent      no more connections | connections, but not a word
 //   reload [bad]                 SIGHUP; discovery has moved to another address, or the file cannot be read
