--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -329,7 +329,7 @@
       in >> n;
       for (int i = 0; i < n; ++i) {
         held_.push_back(make_stream(port_));
-        held_.back()->ask(a + std::to_string(i), "shared");
+        held_.back()->ask(a + std::to_string(i), "shared", 0);
         if (i % 50 == 49) until("stream", [&] { return held_.back()->answers(a + std::to_string(i)) > 0; });
       }
       return;
@@ -509,7 +509,7 @@
       std::vector<std::unique_ptr<Stream>> batch;
       for (int i = 0; i < 100 && n < streams; ++i, ++n) {
         batch.push_back(make_stream(port_));
-        batch.back()->ask("storm" + std::to_string(n), "shared");
+        batch.back()->ask("storm" + std::to_string(n), "shared", 0);
       }
       until("the storm", [&] { return batch.back()->answers("storm" + std::to_string(n - 1)) > 0; });
       for (const auto& s : batch) s->drop();
@@ -519,7 +519,11 @@
     std::string id, word;
     in >> id >> word;
     if (verb == "ask") {
-      s.ask(id, word.empty() ? "shared" : word);
+      long timeout_us = 0;
+      in >> timeout_us;
+      s.ask(id, word.empty() ? "shared" : word, timeout_us);
+    } else if (verb == "pending") {
+      if (!s.error(id).empty() || s.answers(id) > 0) wrong("it is not");
     } else if (verb == "answers") {
       until("answers to " + id, [&] { return s.answers(id) >= std::stoi(word); });
       if (!s.error(id).empty()) wrong("it failed: " + s.error(id));
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -634,10 +634,11 @@
     drop();
     reader_.join();
   }
-  void ask(const std::string& id, const std::string& model) override {
+  void ask(const std::string& id, const std::string& model, long timeout_us) override {
     inference::ModelInferRequest request;
     request.set_id(id);
     request.set_model_name(model);
+    if (timeout_us > 0) (*request.mutable_parameters())["timeout"].set_int64_param(timeout_us);
     call_->Write(request);
   }
   void half_close() override { call_->WritesDone(); }
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -100,7 +100,8 @@
 class Stream {
  public:
   virtual ~Stream() = default;
-  virtual void ask(const std::string& id, const std::string& model) = 0;
+  // timeout_us: of this request, as the parameter 'timeout'; 0: none.
+  virtual void ask(const std::string& id, const std::string& model, long timeout_us) = 0;
   virtual void half_close() = 0;
   virtual void drop() = 0;
   virtual int answers(const std::string& id) = 0;        // in order, whatever else came between
