Read certificates once in a reload; one table of datatypes, one maker of gRPC targets

Cause: rereading the KServe work. A reload read and checked every key twice, and needed a special case for a file that changed in between; the conformance suite had its own tables of datatypes and its own keeper of keys, with a thread, to read files once; two places wrote gRPC targets, four test channels were built by hand; two accessors had no caller. Change: Keeper::read and Keeper::use, so a reload reads first and takes over what it read; kserve::element_size; channel_target; channel_credentials takes the material. In the scenario language 'anew' works for each text. The conformance command no longer logs tls_in_force on standard error; nothing else behaves otherwise.

--- a/src/commands/conformance.cpp
+++ b/src/commands/conformance.cpp
@@ -1,12 +1,13 @@
 #include <grpcpp/create_channel.h>
 
 #include <cstdio>
+#include <ctime>
 
 #include "commands/commands.h"
 #include "config/config.h"
 #include "conformance/checks.h"
 #include "kserve/credentials.h"
-#include "tls/keeper.h"
+#include "tls/material.h"
 
 namespace flintglade::commands {
 
@@ -23,19 +24,16 @@
     if (equals == 0 || equals == std::string::npos) return diagnose(pair + ": not of the form NAME=VALUE");
     target.metadata.emplace_back(pair.substr(0, equals), pair.substr(equals + 1));
   }
-  const bool v6 = at.host.find(':') != std::string::npos;
-  const std::string address = (v6 ? "ipv6:" : "ipv4:") + config::host_port(at.host, at.port);
-  boost::asio::io_context io;
-  tls::Keeper keys(io, "conformance");
+  tls::Material keys;
   grpc::ChannelArguments args;
   args.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
   if (!options.keys.roots.empty()) {
-    const std::string wrong = keys.load(options.keys, 0.0);
+    const std::string wrong = tls::load(options.keys, std::time(nullptr), keys);
     if (!wrong.empty()) return diagnose(wrong);
     args.SetSslTargetNameOverride(options.server_name.empty() ? at.host : options.server_name);
   }
   target.channel = grpc::CreateCustomChannel(
-      address,
+      kserve::channel_target(at),
       options.keys.roots.empty() ? grpc::InsecureChannelCredentials() : kserve::channel_credentials(keys),
       args);
   const auto results = conformance::run(target);
--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -48,24 +48,18 @@
   return out;
 }
 
-// Loads what the file names; again: only keys that are there already.
-std::string load_keys(boost::asio::io_context& io, const deploy::KServe& file,
-                      std::unique_ptr<tls::Keeper>& front, std::unique_ptr<tls::Keeper>& replica,
-                      bool again = false) {
-  const auto load = [&](std::unique_ptr<tls::Keeper>& keys, const char* name, const tls::Files& files,
-                        bool wanted, double every) -> std::string {
-    if (!wanted || (again && !keys)) return "";
-    if (!keys) keys = std::make_unique<tls::Keeper>(io, name);
-    return keys->load(files, every);
-  };
-  const auto every = [](const auto& tls) { return tls.has_look_every_s() ? tls.look_every_s() : kLookEvery; };
-  std::string error = load(front, "front", kserve::front_files(file), file.has_tls(), every(file.tls()));
-  if (error.empty())
-    error = load(replica, "replicas", kserve::replica_files(file), file.has_replica_tls(),
-                 every(file.replica_tls()));
+struct Keys {
+  tls::Material front, replica;
+};
+std::string read_keys(const deploy::KServe& file, bool front, bool replica, Keys& out) {
+  std::string error;
+  if (front) error = tls::Keeper::read(kserve::front_files(file), out.front);
+  if (replica && error.empty()) error = tls::Keeper::read(kserve::replica_files(file), out.replica);
   return error;
 }
 
+double look_every(const auto& tls) { return tls.has_look_every_s() ? tls.look_every_s() : kLookEvery; }
+
 // Waits until something is ready or an alarm is due, runs what is ready, and takes the core through its turn.
 void run(boost::asio::io_context& io, core::Broker& broker, const std::function<void()>& close_idle) {
   bool closed_idle = false;
@@ -160,10 +154,20 @@
               {"at", config::host_port(config.listen.host, http_front.port())}});
 
   std::unique_ptr<tls::Keeper> front_keys, replica_keys;
+  const auto use_keys = [&](const deploy::KServe& from, Keys keys, bool front_too, bool replica_too) {
+    if (front_keys && front_too)
+      front_keys->use(kserve::front_files(from), look_every(from.tls()), std::move(keys.front));
+    if (replica_keys && replica_too)
+      replica_keys->use(kserve::replica_files(from), look_every(from.replica_tls()), std::move(keys.replica));
+  };
   if (file.has_kserve()) {
     kserve::log_through_ours();
-    error = load_keys(io, file.kserve(), front_keys, replica_keys);
+    Keys keys;
+    error = read_keys(file.kserve(), file.kserve().has_tls(), file.kserve().has_replica_tls(), keys);
     if (!error.empty()) return diagnose(error);
+    if (file.kserve().has_tls()) front_keys = std::make_unique<tls::Keeper>(io, "front");
+    if (file.kserve().has_replica_tls()) replica_keys = std::make_unique<tls::Keeper>(io, "replicas");
+    use_keys(file.kserve(), std::move(keys), true, true);
   }
   std::unique_ptr<kserve::GrpcSubchannels> grpc_subchannels;
   std::unique_ptr<kserve::GrpcFront> grpc_front;
@@ -222,17 +226,15 @@
       fields.emplace_back("kserve_descriptions_failed", grpc_front->counters().descriptions_failed);
       fields.emplace_back("kserve_denied", grpc_front->counters().denied);
     }
-    for (const auto& [of, keys] :
-         {std::pair{"front", front_keys.get()}, std::pair{"replica", replica_keys.get()}}) {
-      if (keys == nullptr) continue;
-      fields.emplace_back(of == std::string_view("front") ? "tls_front_taken" : "tls_replica_taken",
-                          keys->counters().taken);
-      fields.emplace_back(of == std::string_view("front") ? "tls_front_refused" : "tls_replica_refused",
-                          keys->counters().refused);
-      fields.emplace_back(
-          of == std::string_view("front") ? "tls_front_expires_in_s" : "tls_replica_expires_in_s",
-          keys->expires_in_s());
-    }
+    const auto add_keys = [&fields](const tls::Keeper* keys, const char* taken, const char* refused,
+                                    const char* expires) {
+      if (keys == nullptr) return;
+      fields.emplace_back(taken, keys->counters().taken);
+      fields.emplace_back(refused, keys->counters().refused);
+      fields.emplace_back(expires, keys->expires_in_s());
+    };
+    add_keys(front_keys.get(), "tls_front_taken", "tls_front_refused", "tls_front_expires_in_s");
+    add_keys(replica_keys.get(), "tls_replica_taken", "tls_replica_refused", "tls_replica_expires_in_s");
     std::vector<std::pair<std::string, std::uint64_t>> of_sources;
     if (sources) of_sources = sources->counters();
     for (const auto& [name, value] : of_sources) fields.emplace_back(name, value);
@@ -250,10 +252,10 @@
     if (wrong.empty())
       fresh_specs = membership::sources(fresh_file.membership(), fresh.zones, fresh.kinds, wrong);
     // Whether there is TLS at all takes a start; with what keys does not.
-    if (wrong.empty() && front_keys && fresh_file.kserve().has_tls())
-      wrong = tls::Keeper::try_out(kserve::front_files(fresh_file.kserve()));
-    if (wrong.empty() && replica_keys && fresh_file.kserve().has_replica_tls())
-      wrong = tls::Keeper::try_out(kserve::replica_files(fresh_file.kserve()));
+    const bool fresh_front = front_keys && fresh_file.kserve().has_tls();
+    const bool fresh_replica = replica_keys && fresh_file.kserve().has_replica_tls();
+    Keys keys;
+    if (wrong.empty()) wrong = read_keys(fresh_file.kserve(), fresh_front, fresh_replica, keys);
     if (!wrong.empty()) {
       broker.reload_refused();
       log::event(Level::warn, "reload_refused", {{"why", wrong}, {"in_force", "the old configuration"}});
@@ -265,12 +267,7 @@
     if (grpc_subchannels) grpc_subchannels->reload(fresh.dial_timeout);
     if (grpc_front && fresh_file.has_kserve())
       grpc_front->reload(kserve::front_settings(fresh_file.kserve()));
-    if (fresh_file.has_kserve()) {
-      // Tried out a moment ago: only a file that changed since can fail here, and the next look tells it
-      // again.
-      const std::string failed = load_keys(io, fresh_file.kserve(), front_keys, replica_keys, true);
-      if (!failed.empty()) log::event(Level::warn, "tls_refused", {{"why", failed}});
-    }
+    use_keys(fresh_file.kserve(), std::move(keys), fresh_front, fresh_replica);
     if (sources && fresh_file.has_membership())
       sources->reload(fresh_file.membership(), std::move(fresh_specs));
     watch.move(fresh.discovery);
--- a/src/conformance/checks.cpp
+++ b/src/conformance/checks.cpp
@@ -127,14 +127,10 @@
         input.add_shape(n < 0 ? kAnySize : n);
         elements *= static_cast<std::size_t>(n < 0 ? kAnySize : n);
       }
+      const auto size = kserve::element_size(t.datatype());
+      expect(size.has_value(), "the model's input " + t.name() + " is of unknown datatype " + t.datatype());
       // Of an element of BYTES, raw, its length: four zeros, too, are an empty one.
-      static const std::map<std::string, std::size_t> kSizes{
-          {"BOOL", 1},   {"UINT8", 1}, {"INT8", 1}, {"UINT16", 2}, {"INT16", 2},  {"FP16", 2},  {"BF16", 2},
-          {"UINT32", 4}, {"INT32", 4}, {"FP32", 4}, {"BYTES", 4},  {"UINT64", 8}, {"INT64", 8}, {"FP64", 8}};
-      const auto size = kSizes.find(t.datatype());
-      expect(size != kSizes.end(),
-             "the model's input " + t.name() + " is of unknown datatype " + t.datatype());
-      out.add_raw_input_contents(std::string(elements * size->second, '\0'));
+      out.add_raw_input_contents(std::string(elements * (*size == 0 ? 4 : *size), '\0'));
     }
     return out;
   }
@@ -223,13 +219,9 @@
 }
 void metadata_tensors(Context& c) {
   const auto check = [](const auto& tensors) {
-    inference::ModelInferRequest request;
     for (const auto& t : tensors) {
       expect(!t.name().empty(), "a tensor has no name");
-      static const char* const kTypes[] = {"BOOL",  "UINT8", "UINT16", "UINT32", "UINT64", "INT8", "INT16",
-                                           "INT32", "INT64", "FP16",   "BF16",   "FP32",   "FP64", "BYTES"};
-      expect(std::find(std::begin(kTypes), std::end(kTypes), t.datatype()) != std::end(kTypes),
-             t.name() + " is of datatype " + t.datatype());
+      expect(kserve::element_size(t.datatype()).has_value(), t.name() + " is of datatype " + t.datatype());
       for (const std::int64_t n : t.shape())
         expect(n >= -1, t.name() + " has a dimension of " + std::to_string(n));
     }
--- a/src/kserve/check.cpp
+++ b/src/kserve/check.cpp
@@ -126,6 +126,11 @@
 
 }  // namespace
 
+std::optional<unsigned> element_size(std::string_view datatype) {
+  const Datatype* type = find_datatype(datatype);
+  return type == nullptr ? std::nullopt : std::optional(type->size);
+}
+
 std::string check_tensors(const inference::ModelInferRequest& request, const Model& model) {
   const int raws = request.raw_input_contents_size();
   const bool raw = raws > 0;
--- a/src/kserve/check.h
+++ b/src/kserve/check.h
@@ -3,13 +3,19 @@
 // No I/O.
 #pragma once
 
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "kserve/models.h"
 #include "kserve_v2.pb.h"
 
 namespace flintglade::kserve {
 
+// Bytes of an element in raw form, 0 for BYTES, whose elements say their own; none: the protocol has no such
+// datatype.
+std::optional<unsigned> element_size(std::string_view datatype);
+
 // Empty, or one plain line that names the tensor and what is wrong with it.
 std::string check_tensors(const inference::ModelInferRequest& request, const Model& model);
 
--- a/src/kserve/credentials.cpp
+++ b/src/kserve/credentials.cpp
@@ -66,9 +66,12 @@
   return std::make_shared<Fetched>(keeper, clients_need_one);
 }
 
-std::shared_ptr<grpc::ChannelCredentials> channel_credentials(const tls::Keeper& keeper) {
-  const tls::Material m = keeper.current();
-  return grpc::SslCredentials({m.roots, m.key, m.certificate});
+std::shared_ptr<grpc::ChannelCredentials> channel_credentials(const tls::Material& material) {
+  return grpc::SslCredentials({material.roots, material.key, material.certificate});
+}
+
+std::string channel_target(const config::HostPort& at) {
+  return (at.host.find(':') != std::string::npos ? "ipv6:" : "ipv4:") + config::host_port(at.host, at.port);
 }
 
 void log_through_ours() { gpr_set_log_function(&to_our_log); }
--- a/src/kserve/credentials.h
+++ b/src/kserve/credentials.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "config/config.h"
 #include "tls/keeper.h"
 
 namespace flintglade::kserve {
@@ -17,8 +18,10 @@
 // The keeper must outlive the server.
 std::shared_ptr<grpc::ServerCredentials> server_credentials(const tls::Keeper& keeper, bool clients_need_one);
 
-// For channels opened from now on.
-std::shared_ptr<grpc::ChannelCredentials> channel_credentials(const tls::Keeper& keeper);
+std::shared_ptr<grpc::ChannelCredentials> channel_credentials(const tls::Material& material);
+
+// What gRPC calls a numeric address: no name is looked up.
+std::string channel_target(const config::HostPort& at);
 
 // gRPC tells of handshakes that failed by its own log only. From here on its errors are events of ours.
 void log_through_ours();
--- a/src/kserve/front.cpp
+++ b/src/kserve/front.cpp
@@ -57,8 +57,6 @@
   }
   void drop();                      // the client is gone
   void written(std::size_t bytes);  // that much of its answer has left
-  const std::string& id() const { return id_; }
-  const std::string& model() const { return model_; }
 
  private:
   void fail_with(Status status, Micros retry_after);
--- a/src/kserve/subchannels.cpp
+++ b/src/kserve/subchannels.cpp
@@ -28,8 +28,8 @@
 
 // gRPC may not send anything again by itself (each arrival at a replica is an attempt), nor wait long before
 // it connects anew, nor look for a proxy.
-std::shared_ptr<grpc::Channel> open_channel(const std::string& target, const std::string& host,
-                                            const SubchannelSettings& set) {
+std::shared_ptr<grpc::Channel> open_channel(const config::HostPort& at, const SubchannelSettings& set) {
+  const std::string target = channel_target(at);
   grpc::ChannelArguments args;
   args.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
   args.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
@@ -45,8 +45,8 @@
   args.SetMaxReceiveMessageSize(kLargestMessage);
   args.SetInt(GRPC_COMPRESSION_CHANNEL_ENABLED_ALGORITHMS_BITSET, 1 << GRPC_COMPRESS_NONE);
   if (set.keys == nullptr) return grpc::CreateCustomChannel(target, grpc::InsecureChannelCredentials(), args);
-  args.SetSslTargetNameOverride(set.server_name.empty() ? host : set.server_name);
-  return grpc::CreateCustomChannel(target, channel_credentials(*set.keys), args);
+  args.SetSslTargetNameOverride(set.server_name.empty() ? at.host : set.server_name);
+  return grpc::CreateCustomChannel(target, channel_credentials(set.keys->current()), args);
 }
 
 }  // namespace
@@ -204,10 +204,8 @@
 std::shared_ptr<grpc::Channel> GrpcSubchannels::channel(Subchannel& sub) {
   config::HostPort at;
   if (sub.channel || !config::parse_host_port(sub.address, at)) return sub.channel;
-  const std::string port = std::to_string(set_.replica_port != 0 ? set_.replica_port : at.port);
-  const bool v6 = at.host.find(':') != std::string::npos;
-  return sub.channel = open_channel(v6 ? "ipv6:[" + at.host + "]:" + port : "ipv4:" + at.host + ":" + port,
-                                    at.host, set_);
+  if (set_.replica_port != 0) at.port = set_.replica_port;
+  return sub.channel = open_channel(at, set_);
 }
 
 // Lives until it is answered.
--- a/src/tls/keeper.cpp
+++ b/src/tls/keeper.cpp
@@ -25,22 +25,15 @@
   disk_.join();
 }
 
-std::string Keeper::try_out(const Files& files) {
-  Material unused;
-  return tls::load(files, unix_now(), unused);
-}
+std::string Keeper::read(const Files& files, Material& out) { return tls::load(files, unix_now(), out); }
 
-std::string Keeper::load(const Files& files, double look_every_s) {
-  Material fresh;
-  std::string error = tls::load(files, unix_now(), fresh);
-  if (!error.empty()) return error;
+void Keeper::use(const Files& files, double look_every_s, Material material) {
   files_ = files;
   every_s_ = look_every_s;
   wrong_.clear();
   told_wrong_ = false;
-  take(std::move(fresh));
+  take(std::move(material));
   plan();
-  return "";
 }
 
 Material Keeper::current() const {
@@ -59,7 +52,7 @@
     if (ec) return;
     boost::asio::post(disk_, [this, alive = alive_, files = files_] {
       Material fresh;
-      std::string error = tls::load(files, unix_now(), fresh);
+      std::string error = read(files, fresh);
       boost::asio::post(io_, [this, alive, files, error = std::move(error), fresh = std::move(fresh)] {
         if (*alive) looked(files, error, fresh);
       });
--- a/src/tls/keeper.h
+++ b/src/tls/keeper.h
@@ -17,11 +17,10 @@
  public:
   Keeper(boost::asio::io_context& io, std::string name);  // the name is for the log
   ~Keeper();
-  // Waits for the disk: for the start and for SIGHUP. Empty, or what is wrong; the old stays in force then.
-  // The files and the time between looks are taken over only if all is well.
-  std::string load(const Files& files, double look_every_s);
-  // As load, but only says what would be wrong.
-  static std::string try_out(const Files& files);
+  // Waits for the disk: for the start and for SIGHUP. Empty, or what is wrong.
+  static std::string read(const Files& files, Material& out);
+  // From now on in force, with the files that it was read from and the time between looks at them.
+  void use(const Files& files, double look_every_s, Material material);
   void on_change(std::function<void()> told) { told_ = std::move(told); }  // on the loop
 
   // Any thread. The generation changes with the material.
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -295,14 +295,11 @@
     if (verb == "rule" || verb == "resolver" || verb == "kserve" || verb == "operator") {
       std::string rest;
       std::getline(in, rest);
-      if (a == "anew") {  // forgets what was set before
-        kserve_ = rest;
-        return;
-      }
-      (verb == "operator" ? operator_
-       : verb == "rule"   ? rule_
-       : verb == "kserve" ? kserve_
-                          : resolver_) += " " + a + rest;
+      std::string& text = (verb == "operator" ? operator_
+                           : verb == "rule"   ? rule_
+                           : verb == "kserve" ? kserve_
+                                              : resolver_);
+      a == "anew" ? text = rest : text += " " + a + rest;  // anew: forgets what was set before
       return;
     }
     if (verb == "quiet" || verb == "busy") {
@@ -556,10 +553,10 @@
     for (std::string word; in >> word;)
       word[0] == '-' ? void(more += " " + word) : void(expected.insert(word));
     for (char& c : more) c = c == '=' ? ' ' : c;
-    for (std::size_t at; (at = more.find('@')) != std::string::npos;) more.replace(at, 1, certs_ + "/");
     const unsigned short port = of == "router" ? port_ : replica(of).port();
-    const std::string out = program().run("conformance 127.0.0.1:" + std::to_string(port) +
-                                          " --model shared --timeout 2" + more + " --junit /dev/null #");
+    const std::string out =
+        program().run("conformance 127.0.0.1:" + std::to_string(port) + " --model shared --timeout 2" +
+                      with_certs(more) + " --junit /dev/null #");
     std::istringstream lines(out);
     bool whole = false;
     for (std::string line; std::getline(lines, line);) {
@@ -648,9 +645,10 @@
       std::filesystem::permissions(certs_ + "/" + name + ".key",
                                    static_cast<std::filesystem::perms>(std::stoi(w["mode"], nullptr, 8)));
   }
-  std::string kserve() const {  // '@' stands for the folder of certificates
+  std::string kserve() const { return with_certs(kserve_); }
+  std::string with_certs(const std::string& text) const {  // '@' stands for the folder of certificates
     std::string out;
-    for (const char c : kserve_) out += c == '@' ? certs_ + "/" : std::string(1, c);
+    for (const char c : text) out += c == '@' ? certs_ + "/" : std::string(1, c);
     return out;
   }
   void send(const std::string& id, std::istringstream& in) {
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -617,8 +617,7 @@
 class GrpcStream final : public Stream {
  public:
   explicit GrpcStream(unsigned short port)
-      : stub_(inference::GRPCInferenceService::NewStub(grpc::CreateChannel(
-            "ipv4:127.0.0.1:" + std::to_string(port), grpc::InsecureChannelCredentials()))) {
+      : stub_(inference::GRPCInferenceService::NewStub(channel_to(port, {}))) {
     context_.AddMetadata(kserve::kClass, "chat");
     context_.AddMetadata(kserve::kTenant, "acme");
     call_ = stub_->ModelStreamInfer(&context_);
@@ -693,8 +692,8 @@
   using Clock = std::chrono::steady_clock;
   std::array<std::unique_ptr<inference::GRPCInferenceService::Stub>, 2> stubs;
   for (int i = 0; i < 2; ++i)
-    stubs[static_cast<std::size_t>(i)] = inference::GRPCInferenceService::NewStub(grpc::CreateChannel(
-        "ipv4:127.0.0.1:" + std::to_string(i == 0 ? replica : router), grpc::InsecureChannelCredentials()));
+    stubs[static_cast<std::size_t>(i)] =
+        inference::GRPCInferenceService::NewStub(channel_to(i == 0 ? replica : router, {}));
   const auto stream = [&](std::size_t to, int n, double& first_us, double& whole_s) {
     grpc::ClientContext context;
     context.AddMetadata(kserve::kClass, "chat");
@@ -761,8 +760,7 @@
   asked.set_value(service);
   const grpc::ByteBuffer request = kserve::to_buffer(asked.SerializeAsString());
   grpc::ByteBuffer response;
-  grpc::TemplatedGenericStub<grpc::ByteBuffer, grpc::ByteBuffer> stub(
-      grpc::CreateChannel("ipv4:127.0.0.1:" + std::to_string(port), grpc::InsecureChannelCredentials()));
+  grpc::TemplatedGenericStub<grpc::ByteBuffer, grpc::ByteBuffer> stub(channel_to(port, {}));
   grpc::ClientContext context;
   std::promise<grpc::Status> done;
   stub.UnaryCall(&context, "/grpc.health.v1.Health/Check", {}, &request, &response,
