Cold joiners get work from routers whose part of the budget is under one request

At 1.8 requests a second a router's part of one joiner's budget is 0.017 requests a second; it began with a random part of one request and waited for a whole one, up to 57 s, and the routers that had one seldom had a key that led there.

Ruled out: the list (told within 0.5 s of the join to all routers), connects (none failed), share() of cold replicas (it declines by warmth only).

Lines at fault: take_entry() and cold_budget(). Now a router whose part makes no request within the window that counts begins with a whole one, and its keys that lead there are thinned by chance where most of the fleet is cold or gone.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -43,28 +43,22 @@
 constexpr double kFleetMemory = 10.0;
 // A replica is an outlier below this part of the mean health; above it, picks are ordinary.
 constexpr double kOutlier = 0.7;
-// What stands for a replica's, and a kind's, own attempts in their mean stay: so many of the next larger
-// group.
-constexpr double kStaysOfReplica = 2.0, kStaysOfKind = 4.0;
-constexpr double kLongStay = 2.0;  // a replica whose attempts stay this many times the mean declines keys
+// The mean stay of a replica's attempts, and a kind's, is drawn to the usual one by so many; a replica's that
+// is this many times the mean makes it decline keys.
+constexpr double kStaysOfReplica = 2.0, kStaysOfKind = 4.0, kLongStay = 2.0;
 // A replica is crowded when it has more of this router's attempts for its size than this many times the mean
 // over all ready ones, and more than so many at all; it declines further keys until it has fewer.
 constexpr double kCrowd = 1.5, kCrowdFrom = 6;
-// One that turned a request away is passed over for this long: it may be draining, of which the list tells
-// late.
-constexpr double kFullFor = 1.0;
+constexpr double kFullFor = 1.0;  // one that turned a request away is passed over: it may be draining
 // One that could not be reached is passed over for this long, twice that the next time, and so on; and so is
 // its zone once so many calls there in a row could not connect: a router meets each replica seldom, and would
 // find out a lost zone by a failure for each.
 constexpr double kDownFor = 0.5;
 constexpr int kDownMost = 3, kZoneRow = 2;
 // Second copies and further attempts for each first one, and how many may be saved up.
-constexpr double kRetryRate = 0.2;
-constexpr double kRetrySaved = 10.0;
+constexpr double kRetryRate = 0.2, kRetrySaved = 10.0;
 // The second copy goes out between these parts of the aim, where the class's usual wait puts it.
-constexpr double kHedgeRate = 0.015;
-constexpr double kHedgeFrom = 0.5;
-constexpr double kHedgeTo = 0.9;
+constexpr double kHedgeRate = 0.015, kHedgeFrom = 0.5, kHedgeTo = 0.9;
 // Late or failed part of recent requests above which excess is refused.
 constexpr double kExcessFrom = 0.9, kLateTarget = 0.2, kAdmitStep = 0.06, kLeastAdmitted = 0.1;
 constexpr double kCalm = 0.1;
@@ -276,9 +270,10 @@
     r.health_at = now_;
     reached(it->second);
     // Many routers learn of a start together. Each begins with a random part of one request's budget, so that
-    // their first requests do not arrive as one burst.
-    r.cold_tokens = unit(mix(seed_, w.id ^ static_cast<std::uint64_t>(now_ * 1e6)));
+    // their first requests do not arrive as one burst. One whose part of the budget makes no request in the
+    // time that counts begins with a whole one: its requests come there too seldom to burst with the others'.
     r.cold_at = now_;
+    r.cold_tokens = few(r) ? 1.0 : unit(mix(seed_, w.id ^ static_cast<std::uint64_t>(now_ * 1e6)));
   }
 
   void rebuild() {
@@ -385,6 +380,7 @@
     fleet_peak_ = std::max(fleet_size_, fleet_peak_ * std::exp(-since / (kFleetMemory * memory_)));
     mean_health_ = n > 0.0 ? healths / n : 1.0;
     ready_ = n;
+    present_size_ = all;
     own_part_ = std::min(1.0, part(own * set_.zones, all * kZoneSlack));
     // A zone's traffic can outgrow its replicas: what its routers, an even part of all, must be getting by
     // what this one gets, against what its replicas can do by the quotas.
@@ -424,11 +420,17 @@
   // The hard guard of cold starts. No router knows what the others send, so each keeps to its own part: what
   // a replica of this size gets of this router's work when warm, times how warm it is, times a part of the
   // multiple at which it falls.
-  bool cold_budget(int index, double work, bool spend) {
+  double cold_due(const Replica& r, double size) const {  // in mean requests a second
+    return kColdPart * set_.fall_multiple * warm(r) * part(rate() * size, fleet_peak_);
+  }
+  bool few(const Replica& r) const { return cold_due(r, part(fleet_size_, ready_)) * set_.fall_s < 1.0; }
+  bool cold_budget(const Request& q, int index, bool spend) {
     Replica& r = replicas_[index];
-    const double w = warm(r);
-    if (w >= 1.0) return true;
-    const double due = kColdPart * set_.fall_multiple * w * part(rate() * sizes_[index], fleet_peak_);
+    if (warm(r) >= 1.0) return true;
+    const double due = cold_due(r, sizes_[index]), work = q.work;
+    // Where most replicas are cold or gone, those left draw more than their usual part of the requests.
+    const double usual = kColdPart * set_.fall_multiple * part(present_size_, fleet_peak_);
+    if (!spend && few(r) && unit(mix(q.query.id, r.worker.id ^ seed_)) > usual) return false;
     const double most = std::max(1.0, due * set_.fall_s * 0.5);
     r.cold_tokens = std::min(most, r.cold_tokens + due * (now_ - r.cold_at));
     r.cold_at = now_;
@@ -482,7 +484,7 @@
     const Replica& r = replicas_[index];
     if (strict > 0 && lost(r)) return false;
     if (strict > 1 && (crowded(index) || unit(mix(q.key ^ 0xc01d, r.worker.id)) >= share(r))) return false;
-    return cold_budget(index, q.work, false);
+    return cold_budget(q, index, false);
   }
   bool crowded(int index) const {
     if (now_ < replicas_[index].full_until) return true;
@@ -663,7 +665,7 @@
   }
 
   void send(Request& q, int index) {
-    cold_budget(index, q.work, true);
+    cold_budget(q, index, true);
     change_stays(index, [](Stay& s) { s.sends += 1.0, s.out += 1.0; });
     Try t;
     t.replica = index;
@@ -878,7 +880,7 @@
   int list_failures_ = 0;
   bool stale_ = true;
   double refreshed_ = -1e300, mean_health_ = 1.0, fleet_size_ = 0.0, fleet_peak_ = 0.0, ready_ = 0.0,
-         own_part_ = 1.0;
+         own_part_ = 1.0, present_size_ = 0.0;
   std::unordered_map<RequestId, Request> requests_;  // looked up only, never walked
   std::map<std::uint64_t, Prefix> prefixes_;
   std::vector<Wait> waits_;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -364,6 +364,71 @@
 TEST(ColdStart, OneRouterWithFewReplicasKeepsTheBudget) { EXPECT_LT(worst_window(1, 3, 60.0, 10.0), 1.0); }
 TEST(ColdStart, ManyRoutersKeepItTogether) { EXPECT_LT(worst_window(40, 6, 2.0, 10.0), 1.0); }
 
+// A large fleet in which joiners are cold: of 100 routers only some are alive or have traffic, and what they
+// see together is the same. The most that a joiner got in its window, as a part of what it falls under, and
+// the mean number that one got in the first seconds, as a part of what it could do.
+struct ColdJoin {
+  double worst = 0.0, used = 0.0;
+};
+ColdJoin cold_join(int alive, int warm, int joiners, double seconds) {
+  Settings set = plain();
+  set.balancers = 100;
+  set.cold_from = 0.31;
+  set.cold_s = 8.9;
+  set.fall_multiple = 2.5;
+  set.fall_s = 3.0;
+  const double all = 180.0, each = all / alive, carried = all / 40 * 1.5;  // a fleet of 40 at two thirds
+  std::map<WorkerId, std::vector<double>> sent;
+  for (int r = 0; r < alive; ++r) {
+    Script s(set, 1000 + static_cast<std::uint64_t>(r));
+    s.list(ListKind::cached, fleet(40));
+    const double from = s.now, join = from + 20.0 + r % 10 * 0.1;  // each hears of it a little later
+    double at = from + 1.0 / each * r / alive;
+    for (bool joined = false; at < join + seconds; at += 1.0 / each) {
+      s.run_to(at);
+      if (!joined && at >= join) {
+        joined = true;
+        std::vector<Worker> now;
+        for (const Worker& w : fleet(warm)) now.push_back(w);
+        for (int i = 0; i < joiners; ++i) now.push_back(warm_worker(1 + i, from + 20.0));
+        s.list(ListKind::full, now);
+      }
+      const RequestId id = s.next_id++;
+      s.query(ask(id, mixed(id * 100 + r)));
+      for (const Action& a : s.of(Action::attempt, id)) {
+        if (a.worker <= 40) sent[a.worker].push_back(at - from - 20.0);
+      }
+      if (s.tries[id] == 0) continue;
+      s.accept(id, 0);
+      s.respond(id, 0, Outcome::ok, true);
+      s.log.clear();
+    }
+  }
+  ColdJoin out;
+  for (auto& [worker, times] : sent) {
+    std::sort(times.begin(), times.end());
+    for (std::size_t i = 0, j = 0; i < times.size(); ++i) {
+      while (j < times.size() && times[j] < times[i] + set.fall_s) ++j;
+      const double warmth = std::min(1.0, 0.31 + 0.69 * times[i] / 8.9);
+      out.worst = std::max(out.worst, static_cast<double>(j - i) / (carried * warmth * 2.5 * set.fall_s));
+    }
+    out.used += static_cast<double>(times.size()) / (carried * 0.5 * seconds) / joiners;
+  }
+  return out;
+}
+TEST(ColdStart, JoinersOfALargeFleetGetWorkAndNoneIsPushedOver) {
+  for (const int alive : {100, 30, 5}) {
+    for (const int joiners : {24, 2}) {
+      const ColdJoin join = cold_join(alive, 40 - joiners, joiners, 6.0);
+      EXPECT_LT(join.worst, 1.0) << alive << " routers, " << joiners << " joiners";
+      EXPECT_GT(join.used, 0.35) << alive << " routers, " << joiners << " joiners";
+    }
+  }
+}
+TEST(ColdStart, AZoneThatComesBackColdAlmostAloneIsNotPushedOver) {
+  for (const int alive : {100, 5}) EXPECT_LT(cold_join(alive, 4, 4, 6.0).worst, 1.0) << alive << " routers";
+}
+
 // After a shrink, what is remembered of arrivals was carried by the larger fleet; taken as the few survivors'
 // usual share it let a cold one be sent several times what it could do.
 TEST(ColdStart, AShrunkFleetDoesNotInflateTheBudget) {
