One late answer lowers admission by a small step; unreadable list entries leave what is held

Now the step down is as long as so many late answers of late allow, and a request that came while no replica was ready at all says nothing of load. note_late() and answer().

List: an entry whose state nobody knows counted as gone, and one without an address, in a whole list, as missing, thus gone (parse_list). Both leave now what is held of that replica in force, with one log line; changes with a rev lower than the one held are passed over; a line over 1 MB (8 MB before: read, some 80 MB of memory) or more than 4,096 entries are no list.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -60,8 +60,7 @@
 // The second copy goes out between these parts of the aim, where the class's usual wait puts it.
 constexpr double kHedgeRate = 0.015, kHedgeFrom = 0.5, kHedgeTo = 0.9;
 // Late or failed part of recent requests above which excess is refused.
-constexpr double kExcessFrom = 0.9, kLateTarget = 0.2, kAdmitStep = 0.06, kLeastAdmitted = 0.1;
-constexpr double kCalm = 0.1;
+constexpr double kCalm = 0.1, kExcessFrom = 0.9, kLateTarget = 0.2, kAdmitStep = 0.06, kLeastAdmitted = 0.1;
 // Steps of admission are made for so many answers a second; a router that sees fewer takes longer ones.
 constexpr double kAnswersASecond = 8.0, kLongestStep = 4.0;
 // A request that nothing may take is held for this part of the time that its client waits, at the most.
@@ -703,7 +702,8 @@
   void answer(Request& q) {
     // Broken replicas and such out of reach say nothing of load: fewer requests would not have helped.
     const auto broken = [](const Try& t) { return t.broken; };
-    if (q.tries.empty() || !std::all_of(q.tries.begin(), q.tries.end(), broken)) note_late(q, true);
+    if (q.tries.empty() ? ready_ > 0.0 : !std::all_of(q.tries.begin(), q.tries.end(), broken))
+      note_late(q, true);
     refuse(q);
   }
   void finish(Request& q) {
@@ -720,11 +720,11 @@
   }
   void note_late(const Request& q, bool late) {
     if (!q.excess) {
-      const double loss =
-          1.0 - (q.bound ? klass(q).late_value : 0.0);  // a late answer may still be worth a part
+      const double loss = 1.0 - (q.bound ? klass(q).late_value : 0.0);  // late may be worth a part
       const double answers = judged_.value(now_, memory_ * 0.3) / (memory_ * 0.3);
       const double step = kAdmitStep * std::clamp(part(kAnswersASecond, answers), 1.0, kLongestStep);
-      admit_ = late ? std::max(kLeastAdmitted, admit_ * (1.0 - step * loss))
+      const double down = std::min(step, kAdmitStep * std::max(1.0, late_.value(now_, memory_ * 0.3)));
+      admit_ = late ? std::max(kLeastAdmitted, admit_ * (1.0 - down * loss))  // one late answer says little
                     : std::min(1.0, admit_ + step * kLateTarget / (1.0 - kLateTarget));
     }
     judged_.add(now_, memory_ * 0.3, 1.0);
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -79,7 +79,7 @@
   now_ = clock_.now();
   ++counters_.turns;
   // What is gathered while the turn runs (a call that fails at once, say) belongs to the next turn.
-  std::vector<Event> events;
+  std::deque<Event> events;
   events.swap(gathered_);
   for (Event& event : events) {
     std::visit([this](auto& e) { take(e); }, event);
@@ -274,6 +274,7 @@
                                       [id = id](const Endpoint& n) { return n.replica.id == id; });
       if (listed || known.replica.health == Health::gone) continue;
       e.entries.push_back(known);
+      if (std::find(e.unreadable.begin(), e.unreadable.end(), id) != e.unreadable.end()) continue;
       e.entries.back().replica.health = Health::gone;
     }
   }
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <queue>
@@ -217,7 +218,7 @@
   std::size_t body_bytes_ = 0;
   std::unordered_map<RpcId, Rpc> rpcs_;
   std::unordered_set<std::string> open_ids_;  // trace ids of the RPCs without a final answer
-  std::vector<Event> gathered_;
+  std::deque<Event> gathered_;                // grows without moving what it holds
   std::vector<Action> actions_;
   std::priority_queue<Alarm, std::vector<Alarm>, std::greater<>> alarms_;
   std::uint64_t alarms_set_ = 0;
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -79,6 +79,8 @@
   pipitcleat::ListKind kind = pipitcleat::ListKind::failed;
   std::uint32_t version = 0;
   std::vector<Endpoint> entries;
+  // Named, but by an entry that says nothing usable: what is held of them stays in force.
+  std::vector<ReplicaId> unreadable;
 };
 
 // The model replicas behind one wire. Each call is answered by one Broker::call_ended, unless cancelled.
--- a/src/discovery/entries.cpp
+++ b/src/discovery/entries.cpp
@@ -31,7 +31,7 @@
   const Json root = Json::parse(json, nullptr, false);
   if (!root.is_object()) return false;
   const auto targets = root.find("targets");
-  if (targets == root.end() || !targets->is_array()) return false;
+  if (targets == root.end() || !targets->is_array() || targets->size() > kMostEntries) return false;
   const auto all = root.find("all");
   const bool whole = all != root.end() && all->is_boolean() && all->get<bool>();
   out.kind = whole ? pipitcleat::ListKind::full : pipitcleat::ListKind::delta;
@@ -45,8 +45,13 @@
     e.replica.health = state == "Ready"         ? pipitcleat::Health::ready
                        : state == "Terminating" ? pipitcleat::Health::draining
                                                 : pipitcleat::Health::gone;
-    if (uid.empty() || (e.address.empty() && e.replica.health != pipitcleat::Health::gone)) continue;
+    if (uid.empty()) continue;
     e.replica.id = replica_id(uid);
+    const bool gone = state == "Gone";
+    if ((e.address.empty() && !gone) || (e.replica.health == pipitcleat::Health::gone && !gone)) {
+      out.unreadable.push_back(e.replica.id);
+      continue;
+    }
     e.replica.zone = position(names.zones, text(entry, "az"));
     e.replica.kind = position(names.kinds, text(entry, "model"));
     e.replica.cell = static_cast<std::uint32_t>(std::clamp(number(entry, "pod_group", 0.0), 0.0, 1e9));
--- a/src/discovery/entries.h
+++ b/src/discovery/entries.h
@@ -18,7 +18,11 @@
 // A replica's id is made of its uid alone, so that it is the same on every router and after a restart.
 core::ReplicaId replica_id(std::string_view uid);
 
-// False: not a list in discovery's form. Entries without a uid or a usable address are left out.
+// More entries than this are no list of a fleet but something else, and would cost the router its memory.
+inline constexpr std::size_t kMostEntries = 4096;
+
+// False: not a list in discovery's form. Entries without a uid, a usable address or a known state are left
+// out; those that have a uid at least are named in out.unreadable.
 bool parse_list(std::string_view json, const Names& names, core::ListNews& out);
 
 }  // namespace flintglade::discovery
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -19,7 +19,7 @@
 // every 2 s. Longer silence than this means that nobody is there: TCP would not say so.
 constexpr auto kFirstSilence = std::chrono::milliseconds(3000);
 constexpr auto kSilence = std::chrono::milliseconds(4500);
-constexpr std::size_t kLongestLine = 8u << 20;
+constexpr std::size_t kLongestLine = 1u << 20;  // some 4,000 entries; read, it takes ten times its size
 }  // namespace
 
 class Watch::Session : public std::enable_shared_from_this<Session> {
@@ -100,6 +100,14 @@
     if (text.find_first_not_of(" \r\t") == std::string_view::npos) return true;
     core::ListNews news;
     if (!parse_list(text, owner_->names_, news)) return false;
+    if (news.kind == pipitcleat::ListKind::delta && owner_->have_list_ && news.version < owner_->version_) {
+      // Late or repeated: what it tells has been overtaken by what is held.
+      log::event(log::Level::warn, "list_out_of_order", {{"rev", news.version}, {"held", owner_->version_}});
+      return true;
+    }
+    if (!news.unreadable.empty())
+      log::event(log::Level::warn, "list_entries_unreadable",
+                 {{"entries", news.unreadable.size()}, {"in_force", "what was held of them"}});
     owner_->version_ = news.version;
     owner_->have_list_ = true;
     owner_->last_error_.clear();
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -352,6 +352,31 @@
   CHECK(news.version == 7 && news.kind == pipitcleat::ListKind::delta && news.entries.size() == 2);
   CHECK(news.entries[0].replica.kind == 1 && news.entries[0].replica.health == Health::draining);
   CHECK(news.entries[0].replica.born == 2.0 && news.entries[0].replica.id == discovery::replica_id("s"));
+  // A state that nobody knows is no word that a replica is gone.
+  core::ListNews odd;
+  CHECK(discovery::parse_list(
+      R"({"rev":8,"all":true,"targets":[{"uid":"s","endpoint":"h:1","state":"Paused"},{"uid":"t","state":"Ready"}]})",
+      names, odd));
+  CHECK(odd.entries.empty() && odd.unreadable.size() == 2 && odd.unreadable[0] == discovery::replica_id("s"));
+  std::string many = R"({"rev":9,"all":true,"targets":[)";
+  for (std::size_t i = 0; i <= discovery::kMostEntries; ++i) many += (i > 0 ? ",{}" : "{}");
+  CHECK(!discovery::parse_list(many + "]}", names, odd));
+}
+
+// A whole list in which a replica's entry can't be read leaves what is held of it in force; one that it does
+// not name is gone.
+void unreadable_entries_leave_what_is_held() {
+  Core c;
+  const auto whole_list = [&c](std::vector<core::ReplicaId> unreadable) {
+    core::ListNews news;
+    news.kind = pipitcleat::ListKind::full;
+    news.unreadable = std::move(unreadable);
+    c.broker->list_news(std::move(news));
+    c.broker->turn();
+    return c.ports.no_new_after;
+  };
+  CHECK(whole_list({1}) == core::kNever);
+  CHECK(whole_list({}) != core::kNever);
 }
 
 void operator_files_are_checked() {
@@ -650,6 +675,7 @@
                                          settings_are_flattened_and_checked,
                                          labels_are_checked,
                                          lists_are_read_and_odd_entries_left_out,
+                                         unreadable_entries_leave_what_is_held,
                                          operator_files_are_checked,
                                          tensors_are_checked,
                                          what_plain_clients_say_is_mapped,
