A drain refuses at once what comes 0.6 s after SIGTERM and answers all before SIGKILL

At fault: BrokerSettings::linger of 1 s in core/broker.h, against the protocol's 0.7 s: a request taken after that must be answered before SIGKILL, and SIGKILL may come before its deadline (which counts as 3 s where it is longer).

Change: a drain takes RPCs for 0.6 s (new connections come for 0.4 s at most), and refuses at once what comes later on a kept connection. What it took and has no first event for has its final answer 3.6 s after SIGTERM at the latest, or the longest deadline and 0.6 s, rather than none at SIGKILL.

Test: a_drain_answers_before_it_is_killed in tests/units_test.cpp; fails without the refusal.

--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -49,6 +49,12 @@
   return out;
 }
 
+Micros longest(const pipitcleat::Settings& module) {
+  double seconds = 0.0;
+  for (const auto& c : module.classes) seconds = std::max(seconds, c.hard_limit);
+  return static_cast<Micros>(seconds * 1e6);
+}
+
 struct Keys {
   tls::Material front, replica;
 };
@@ -146,6 +152,7 @@
   settings.drain_grace = config.drain_grace;
   settings.answer_grace = config.answer_grace;
   settings.cancel_hold = static_cast<Micros>(file.calls().cancel_hold_s() * 1e6);
+  settings.drain_limit = std::min(settings.drain_limit, longest(config.module) + 600 * core::kMilli);
   settings.body_budget = (config.memory_mb << 20) / 4;
   std::unique_ptr<membership::Sources> sources;
   if (file.has_membership())
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -119,6 +119,7 @@
   drain_from_ = clock_.now();
   for (const auto& [id, rpc] : rpcs_) {
     for (std::uint32_t i = 0; rpc.over() && i < rpc.calls.size(); ++i) wake(drain_from_, HoldEnd{{id, i}});
+    if (!rpc.over()) wake(drain_from_ + set_.drain_limit, Overdue{id});
   }
 }
 bool Broker::lingering() const { return phase_ == Phase::draining && now_ < drain_from_ + set_.linger; }
@@ -150,9 +151,11 @@
   counters_.retries += e.request->is_retry;
   counters_.resumed += e.request->resumed;
   // The bodies of waiting RPCs are the router's largest use of memory; past the budget a new one is refused
-  // on the spot, rather than the process be killed with all it holds.
-  if (body_bytes_ + e.request->body.size() > set_.body_budget) {
-    ++counters_.overloaded;
+  // on the spot, rather than the process be killed with all it holds. So is one that comes on a connection
+  // kept for long into a drain: it could be open still when the process is killed, and would be lost.
+  const bool too_late = phase_ == Phase::draining && !lingering();
+  if (too_late || body_bytes_ + e.request->body.size() > set_.body_budget) {
+    ++(too_late ? counters_.unavailable : counters_.overloaded);
     open_ids_.erase(e.request->trace_id);
     e.channel->unavailable(kSecond, false);
     return;
@@ -165,6 +168,7 @@
   body_bytes_ += rpc.request->body.size();
   ++open_;
   wake(rpc.deadline + set_.answer_grace, Overdue{e.id});
+  if (phase_ == Phase::draining) wake(drain_from_ + set_.drain_limit, Overdue{e.id});
   const RpcRequest& r = *rpc.request;
   pipitcleat::Query q;
   q.id = e.id;
@@ -330,18 +334,22 @@
     Call* call = find_out(h->id, rpc);
     if (call != nullptr && call->held) end_call(h->id, *rpc, *call, Outcome::cancelled);
   } else if (const auto* o = std::get_if<Overdue>(&alarm.what)) {
-    Rpc* rpc = find(o->id);
-    if (rpc == nullptr || rpc->over() || rpc->bound >= 0) return;
-    // The module owes every RPC an answer by its deadline. Should it not have given one, the client gets it
-    // from here, and the module is told that the RPC is over.
-    ++counters_.overdue;
-    ++counters_.failed;
-    close(*rpc)->fail(Failure::deadline);
-    module_.on_gone(to_seconds(now_), o->id, *this);
-    drop_if_done(o->id, *rpc);
+    give_up(o->id);
   }
 }
 
+// The module owes every RPC an answer by its deadline. Should it not have given one, the client gets it from
+// here, and the module is told that the RPC is over. In a drain, the process may be killed before that.
+void Broker::give_up(RpcId id) {
+  Rpc* rpc = find(id);
+  if (rpc == nullptr || rpc->over() || rpc->bound >= 0) return;
+  ++counters_.overdue;
+  ++counters_.failed;
+  close(*rpc)->fail(now_ >= rpc->deadline ? Failure::deadline : Failure::error);
+  module_.on_gone(to_seconds(now_), id, *this);
+  drop_if_done(id, *rpc);
+}
+
 // ---- calls
 // --------------------------------------------------------------------------------------------------
 
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -28,7 +28,8 @@
   Micros answer_grace = 20 * kMilli;    // after the deadline, for the final answer
   std::size_t body_budget = 48u << 20;  // bytes of request bodies held at once
   Micros stall = 2 * kSecond;           // a stream without an event for this long has broken
-  Micros linger = kSecond;              // how long a draining router goes on taking new RPCs
+  Micros linger = 600 * kMilli;         // how long a draining router goes on taking new RPCs
+  Micros drain_limit = 3600 * kMilli;   // and by when what it took has its first event or an answer
   Micros cancel_hold = 0;  // how long a call that its client gave up counts as its replica's work
 };
 
@@ -147,7 +148,7 @@
   struct CallExpiry {
     CallId id;
   };
-  struct Overdue {
+  struct Overdue {  // at the deadline, or where a drain may take no longer
     RpcId id;
   };
   struct StallCheck {
@@ -189,6 +190,7 @@
 
   void ring(const Alarm& alarm);
   void wake(Micros at, What what);
+  void give_up(RpcId id);
   Rpc* find(RpcId id);
   Call* find_out(CallId id, Rpc*& rpc);
   Subchannels& subchannels(const Rpc& rpc) const;
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -278,6 +278,23 @@
   CHECK(c.broker->phase() == core::Phase::stopped && answer->end == "finish");
 }
 
+// Seen on a rolling restart of a full fleet: a request came 0.89 s after SIGTERM on a connection that had
+// been kept, waited for its first token, and was lost at SIGKILL.
+void a_drain_answers_before_it_is_killed() {
+  Core c;
+  core::RpcId id = 0;
+  c.broker->drain();
+  const auto early = c.send(id);
+  CHECK(early->end.empty() && c.ports.calls.size() == 1);
+  c.pass_time(700 * core::kMilli);
+  const auto late = c.send(id);
+  CHECK(late->end == "unavailable" && c.ports.calls.size() == 1);
+  c.pass_time(c.limits.drain_limit - 800 * core::kMilli);
+  CHECK(early->end.empty());
+  c.pass_time(200 * core::kMilli);
+  CHECK(early->end == "fail" && c.broker->phase() == core::Phase::stopped);
+}
+
 // ---- the edges
 // ----------------------------------------------------------------------------------------------
 
@@ -670,6 +687,7 @@
                                          the_first_word_of_a_drain_counts,
                                          bodies_are_a_budget,
                                          draining_waits_for_what_is_open,
+                                         a_drain_answers_before_it_is_killed,
                                          events_are_whole_whatever_the_chunks,
                                          a_report_is_whole_or_none,
                                          settings_are_flattened_and_checked,
