Log without a thread: lines that could wait are dropped, and no process end waits for one

Routers went one by one, each some 20 s after the last (60 routers: 11 that ended by themselves and 266 s, 6 and 160 s). The log lines 'stopped' and 'counters' of those that ended never came. Ruled out: spinning (no router had used a second of CPU time), debug logs (the same with info), the looks at connections. gdb on an idle router: thread 2 in spdlog's worker_loop_, waiting with a time-out. At fault: src/log/log.cpp: the asynchronous logger's worker, whose end flush() waited for at exit; where one thread of a process runs at a time, that wait lasted until a time-out of 20 s, and the process was ended with its last answers. The worker also woke an idle router every 10 s. Change: the logger writes from where the event happens, if a poll says that the line can't wait, and drops and counts it otherwise (log_dropped). An idle router has one thread, and that sleeps.

--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -1,8 +1,9 @@
 #include "log/log.h"
 
-#include <spdlog/async.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <poll.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
@@ -16,33 +17,47 @@
 namespace flintglade::log {
 namespace {
 
-constexpr std::size_t kQueue = 1024;  // lines; the oldest goes when a new one finds it full
-constexpr unsigned kMostLike = 20;    // of one name in a window
+constexpr unsigned kMostLike = 20;  // of one name in a window
 constexpr std::int64_t kWindowUs = 1'000'000;
 
+// Writes a line where that can't wait, and drops it where it could: a pipe that is said to be writable takes
+// PIPE_BUF bytes at once. No queue and no thread of its own. Seen with one: it woke an idle router every 10
+// s, and the end of a process that waited for it took up to 20 s where threads run one at a time.
+class NoWait final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ public:
+  std::uint64_t dropped = 0;
+
+ private:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    spdlog::memory_buf_t line;
+    formatter_->format(message, line);
+    if (line.size() > kLongest) {
+      line.resize(kLongest);
+      line[kLongest - 1] = '\n';
+    }
+    pollfd ready{STDERR_FILENO, POLLOUT, 0};
+    const bool can = ::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0;
+    if (!can || ::write(STDERR_FILENO, line.data(), line.size()) < 0) ++dropped;
+  }
+  void flush_() override {}
+  static constexpr std::size_t kLongest = 4096;  // PIPE_BUF
+};
+
 struct State {
   std::mutex mutex;
   Format format = Format::text;
   Collapse collapse{kMostLike, kWindowUs};
-  std::shared_ptr<spdlog::details::thread_pool> pool;
-  std::shared_ptr<spdlog::async_logger> logger;
-
-  spdlog::level::level_enum level = spdlog::level::info;
-
-  State() { open(); }
-  void open() {
-    pool = std::make_shared<spdlog::details::thread_pool>(kQueue, 1);
-    logger = std::make_shared<spdlog::async_logger>("flintglade",
-                                                    std::make_shared<spdlog::sinks::stderr_sink_mt>(), pool,
-                                                    spdlog::async_overflow_policy::overrun_oldest);
-    logger->flush_on(spdlog::level::trace);
-    logger->set_level(level);
+  std::shared_ptr<NoWait> sink = std::make_shared<NoWait>();
+  spdlog::logger logger{"flintglade", sink};
+
+  State() {
+    logger.set_level(spdlog::level::info);
     pattern();
   }
   void pattern() {
-    logger->set_pattern(format == Format::json ? R"({"ts":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})"
-                                               : "ts=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v",
-                        spdlog::pattern_time_type::utc);
+    logger.set_pattern(format == Format::json ? R"({"ts":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})"
+                                              : "ts=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v",
+                       spdlog::pattern_time_type::utc);
   }
 };
 State& state() {
@@ -72,7 +87,7 @@
 void tell_counts(State& s, std::int64_t now) {
   for (const auto& count : s.collapse.due(now)) {
     const Field fields[] = {{"of", count.name}, {"left_out", count.left_out}};
-    s.logger->log(spdlog::level::warn, "{}", render(s.format, "repeated", fields, std::size(fields)));
+    s.logger.log(spdlog::level::warn, "{}", render(s.format, "repeated", fields, std::size(fields)));
   }
 }
 
@@ -88,8 +103,7 @@
   State& s = state();
   const std::lock_guard lock(s.mutex);
   s.format = format == "json" ? Format::json : Format::text;
-  s.level = to_spd(static_cast<Level>(at - std::begin(kNames)));
-  s.logger->set_level(s.level);
+  s.logger.set_level(to_spd(static_cast<Level>(at - std::begin(kNames))));
   s.pattern();
   return true;
 }
@@ -110,7 +124,7 @@
 bool enabled(Level level) {
   State& s = state();
   const std::lock_guard lock(s.mutex);
-  return s.logger->should_log(to_spd(level));
+  return s.logger.should_log(to_spd(level));
 }
 
 void event(Level level, std::string_view name, std::initializer_list<Field> fields) {
@@ -118,30 +132,27 @@
   const std::lock_guard lock(s.mutex);
   const std::int64_t now = now_us();
   tell_counts(s, now);
-  if (!s.logger->should_log(to_spd(level))) return;
+  if (!s.logger.should_log(to_spd(level))) return;
   if (level != Level::debug && !s.collapse.take(name, now)) return;
-  s.logger->log(to_spd(level), "{}", render(s.format, name, fields.begin(), fields.size()));
+  s.logger.log(to_spd(level), "{}", render(s.format, name, fields.begin(), fields.size()));
 }
 
 void reply(std::string_view name, const std::vector<Field>& fields) {
   State& s = state();
   const std::lock_guard lock(s.mutex);
-  s.logger->log(spdlog::level::info, "{}", render(s.format, name, fields.data(), fields.size()));
+  s.logger.log(spdlog::level::info, "{}", render(s.format, name, fields.data(), fields.size()));
 }
 
 void flush() {
   State& s = state();
   const std::lock_guard lock(s.mutex);
   tell_counts(s, INT64_MAX / 2);
-  s.logger.reset();
-  s.pool.reset();  // its end waits for what is queued
-  s.open();
 }
 
 std::uint64_t dropped() {
   State& s = state();
   const std::lock_guard lock(s.mutex);
-  return s.pool->overrun_counter();
+  return s.sink->dropped;
 }
 
 }  // namespace flintglade::log
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -36,8 +36,8 @@
 void event(Level level, std::string_view name, std::initializer_list<Field> fields);
 // What somebody asked for, such as the counters at SIGUSR1: never collapsed.
 void reply(std::string_view name, const std::vector<Field>& fields);
-void flush();  // writes what is counted and waits until the queue is empty; for the end of the process
-std::uint64_t dropped();  // lines lost because the queue was full
+void flush();             // writes what is counted; for the end of the process
+std::uint64_t dropped();  // lines lost because nobody reads them
 
 // One line without its time: what event() writes. For tests.
 std::string render(Format format, std::string_view name, const Field* fields, std::size_t count);
