An older list after SIGHUP does not take back a drain; tests of the log and of idle fronts

Ruled out: the watch, which passes over older changes, but asks anew for the whole list at an address that has moved. Change: the list's rev is kept with the first word of a drain; an entry that says ready under a lower rev, of a replica that has not started anew, is passed over for 10 s (discovery's lag is under 6) and believed then. Tests: an_older_list_does_not_take_back_a_drain (fails without), nothing_is_due_where_nothing_is_open (the fronts' timers), the_log_has_no_thread_and_never_waits (full pipe: the line is dropped and counted).

--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -287,6 +287,12 @@
       e.entries.back().replica.health = Health::gone;
     }
   }
+  std::erase_if(e.entries, [&](const Endpoint& entry) {
+    if (!overtaken(entry, e)) return false;
+    const Micros since = retired_[entry.replica.id].since;
+    wake(since + set_.list_lag, Untold{entry, e.version, since});
+    return true;
+  });
   for (const Endpoint& entry : e.entries) {
     change.workers.push_back(entry.replica);
     const ReplicaId id = entry.replica.id;
@@ -294,12 +300,13 @@
     if (entry.replica.health == Health::ready) {
       retired_.erase(id);
     } else {
-      retired_.try_emplace(id, now_);  // the first word counts, not the last
+      Retired& retired = retired_.try_emplace(id, Retired{now_, e.version}).first->second;
+      retired.version = std::max(retired.version, e.version);  // the time is that of the first word
     }
     const auto retired = retired_.find(id);
     for (Subchannels* s : subchannels_) {
       if (s != nullptr)
-        s->update(entry, retired == retired_.end() ? kNever : retired->second + set_.drain_grace);
+        s->update(entry, retired == retired_.end() ? kNever : retired->second.since + set_.drain_grace);
     }
   }
   ready_replicas_ =
@@ -310,6 +317,16 @@
   module_.on_list(to_seconds(now_), change, *this);
 }
 
+// Discovery that has moved may tell a whole list that is older than the word of a drain: believed, it would
+// send new work to a replica that was told to drain. A replica that has started anew is another matter.
+bool Broker::overtaken(const Endpoint& entry, const ListNews& news) {
+  const auto retired = retired_.find(entry.replica.id);
+  const auto held = replicas_.find(entry.replica.id);
+  return retired != retired_.end() && held != replicas_.end() && news.version < retired->second.version &&
+         entry.replica.health == Health::ready && entry.replica.born <= held->second.replica.born &&
+         now_ < retired->second.since + set_.list_lag;
+}
+
 // ---- alarms
 // -------------------------------------------------------------------------------------------------
 
@@ -338,6 +355,14 @@
     Rpc* rpc = nullptr;
     Call* call = find_out(h->id, rpc);
     if (call != nullptr && call->held) end_call(h->id, *rpc, *call, Outcome::cancelled);
+  } else if (const auto* u = std::get_if<Untold>(&alarm.what)) {
+    const auto retired = retired_.find(u->entry.replica.id);
+    if (retired == retired_.end() || retired->second.since != u->since) return;
+    ListNews news;
+    news.kind = ListKind::delta;
+    news.version = u->version;
+    news.entries.push_back(u->entry);
+    take(news);
   } else if (const auto* o = std::get_if<Overdue>(&alarm.what)) {
     give_up(o->id);
   }
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -28,6 +28,7 @@
   Micros answer_grace = 20 * kMilli;    // after the deadline, for the final answer
   std::size_t body_budget = 48u << 20;  // bytes of request bodies held at once
   Micros stall = 2 * kSecond;           // a stream without an event for this long has broken
+  Micros list_lag = 10 * kSecond;       // no list is older than this; discovery's own lag is under 6 s
   Micros linger = 600 * kMilli;         // how long a draining router goes on taking new RPCs
   Micros drain_limit = 3400 * kMilli;   // and by when what it took has its first event or an answer
   Micros last_words = 300 * kMilli;     // from its last answer to its end, for it to reach its client
@@ -119,6 +120,10 @@
   };
   using Event = std::variant<Arrived, Gone, Rejected, Writable, Events, Ended, ListNews>;
 
+  struct Retired {
+    Micros since = 0;
+    std::uint32_t version = 0;  // of the list that told it
+  };
   struct Attempt {
     RpcId id;
     ReplicaId replica;
@@ -158,7 +163,12 @@
   struct HoldEnd {
     CallId id;
   };
-  using What = std::variant<ModuleAlarm, CallExpiry, Overdue, StallCheck, HoldEnd>;
+  struct Untold {  // what an older list said of a replica is believed after all
+    Endpoint entry;
+    std::uint32_t version;
+    Micros since;  // the word that it does not take back
+  };
+  using What = std::variant<ModuleAlarm, CallExpiry, Overdue, StallCheck, HoldEnd, Untold>;
   struct Alarm {
     Micros at = 0;
     std::uint64_t order = 0;  // equal times ring in the order they were set
@@ -192,6 +202,7 @@
   void ring(const Alarm& alarm);
   void wake(Micros at, What what);
   void give_up(RpcId id);
+  bool overtaken(const Endpoint& entry, const ListNews& news);
   Micros drained_at() const;
   Rpc* find(RpcId id);
   Call* find_out(CallId id, Rpc*& rpc);
@@ -214,9 +225,9 @@
   Micros drain_from_ = kNever;
   std::size_t ready_replicas_ = 0;
   std::unordered_map<ReplicaId, Endpoint> replicas_;
-  std::unordered_map<ReplicaId, Micros> retired_;  // when a replica was known to drain or be gone
-  bool heard_ = false;                             // the list has answered, or failed to
-  bool listed_ = false;                            // the list has answered
+  std::unordered_map<ReplicaId, Retired> retired_;  // since when a replica is known to drain or be gone
+  bool heard_ = false;                              // the list has answered, or failed to
+  bool listed_ = false;                             // the list has answered
   RpcId last_id_ = 0;
   std::size_t open_ = 0;  // RPCs without a final answer
   Micros answered_ = 0;   // when the last final answer was given
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -1,11 +1,13 @@
 // Plain asserts on the parts that need no socket. Each guards against a failure that a scenario would show
 // only by chance.
+#include <fcntl.h>
 #include <google/protobuf/text_format.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -15,7 +17,9 @@
 #include "config/labels.h"
 #include "core/broker.h"
 #include "discovery/entries.h"
+#include "http/front.h"
 #include "http/sse.h"
+#include "http/subchannels.h"
 #include "kserve/check.h"
 #include "kserve/descriptions.h"
 #include "kserve/mapping.h"
@@ -256,6 +260,36 @@
   CHECK(c.ports.no_new_after == core::kNever);
 }
 
+// SIGHUP moves discovery, and the new address tells a list from before a drain that the old one had told.
+void an_older_list_does_not_take_back_a_drain() {
+  Core c;
+  const auto list = [&c](Health health, std::uint32_t version, double born = 0.0) {
+    core::ListNews news;
+    news.kind = pipitcleat::ListKind::full;
+    news.version = version;
+    news.entries.resize(1);
+    news.entries[0].replica.id = 1;
+    news.entries[0].replica.health = health;
+    news.entries[0].replica.born = born;
+    c.broker->list_news(std::move(news));
+    c.broker->turn();
+  };
+  const Micros told = c.ports.time;
+  list(Health::draining, 41);
+  list(Health::ready, 40);
+  CHECK(c.ports.no_new_after == told + c.limits.drain_grace);
+  list(Health::ready, 42);  // it stays after all
+  CHECK(c.ports.no_new_after == core::kNever);
+  list(Health::draining, 43);
+  list(Health::ready, 40, 990.0);  // started anew: another process
+  CHECK(c.ports.no_new_after == core::kNever);
+  list(Health::draining, 44, 990.0);
+  list(Health::ready, 7, 990.0);  // another service may count otherwise: believed in the end
+  CHECK(c.ports.no_new_after != core::kNever);
+  c.pass_time(c.limits.list_lag + 10 * core::kMilli);
+  CHECK(c.ports.no_new_after == core::kNever);
+}
+
 void bodies_are_a_budget() {
   Core c(1000);
   core::RpcId id = 0;
@@ -301,6 +335,46 @@
   CHECK(c.broker->phase() == core::Phase::stopped);
 }
 
+// Both fronts looked at their connections many times a second, also where there were none.
+void nothing_is_due_where_nothing_is_open() {
+  Core c;
+  boost::asio::io_context io(1);
+  http::HttpSubchannels subchannels(io, *c.broker, c.ports, {});
+  http::HttpFront front(io, *c.broker, c.ports, {{}, [] { return std::size_t{8}; }});
+  CHECK(io.poll() == 0 && io.stopped());  // no timer is set
+  int rung = 0;
+  http::Due due(io, c.ports, [&rung] { ++rung; });
+  due.by(core::kNever);
+  due.by(c.ports.time + core::kSecond);
+  due.by(c.ports.time);
+  due.by(c.ports.time + 2 * core::kSecond);
+  io.restart();
+  io.run();
+  CHECK(rung == 1);
+}
+
+// The log had a thread, which woke an idle router and which the end of the process waited for.
+void the_log_has_no_thread_and_never_waits() {
+  const auto threads = [] {
+    const std::filesystem::directory_iterator all("/proc/self/task");
+    return std::distance(begin(all), end(all));
+  };
+  const auto before = threads();
+  const int real = dup(STDERR_FILENO);
+  int ends[2];
+  CHECK(real >= 0 && pipe(ends) == 0 && fcntl(ends[1], F_SETFL, O_NONBLOCK) == 0);
+  const std::string page(4096, 'x');
+  while (write(ends[1], page.data(), page.size()) > 0) {
+  }
+  CHECK(fcntl(ends[1], F_SETFL, 0) == 0 && dup2(ends[1], STDERR_FILENO) >= 0);
+  const auto lost = log::dropped();
+  log::event(log::Level::error, "nobody_reads", {});  // a write would wait for good
+  log::flush();
+  dup2(real, STDERR_FILENO);
+  CHECK(log::dropped() == lost + 1 && threads() == before);
+  for (const int fd : {real, ends[0], ends[1]}) close(fd);
+}
+
 // ---- the edges
 // ----------------------------------------------------------------------------------------------
 
@@ -682,7 +756,9 @@
 }  // namespace
 
 int main() {
-  const std::function<void()> tests[] = {an_answer_ends_once,
+  const std::function<void()> tests[] = {the_log_has_no_thread_and_never_waits,
+                                         nothing_is_due_where_nothing_is_open,
+                                         an_answer_ends_once,
                                          events_after_the_first_have_no_deadline,
                                          a_silent_stream_breaks_and_a_held_up_one_does_not,
                                          every_rpc_is_answered_by_its_deadline,
@@ -691,6 +767,7 @@
                                          a_given_up_call_counts_for_a_while,
                                          an_empty_answer_is_one_where_it_may_be,
                                          the_first_word_of_a_drain_counts,
+                                         an_older_list_does_not_take_back_a_drain,
                                          bodies_are_a_budget,
                                          draining_waits_for_what_is_open,
                                          a_drain_answers_before_it_is_killed,
