--- a/include/pipitcleat/balancer.h
+++ b/include/pipitcleat/balancer.h
@@ -11,6 +11,7 @@
 // or over are passed over.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string_view>
@@ -171,6 +172,9 @@
   void on_wake(double now, std::uint64_t cookie, ActionSink& sink);
   void on_pong(double now, const Pong& pong, ActionSink& sink);
   void on_peer(double now, std::uint32_t from, std::string_view bytes, ActionSink& sink);
+  // How many of the ready workers it now passes over: out of reach, full, or trusted with less than half of
+  // their keys for how they answer. A cold one is not passed over. For whoever watches; changes nothing.
+  std::size_t avoided(double now) const;
 
  private:
   class Impl;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -99,13 +99,9 @@
     for (int r : joiners_in_order) {
       if (held[r]) continue;
       while (hole < slots.size() && standing[hole]) ++hole;
-      if (hole == slots.size()) {
-        slots.push_back(r);
-        standing.push_back(true);
-      } else {
-        slots[hole] = r;
-        standing[hole] = true;
-      }
+      if (hole == slots.size()) slots.push_back(r), standing.push_back(true);
+      slots[hole] = r;
+      standing[hole] = true;
     }
     members.clear();
     for (std::size_t s = 0; s < slots.size(); ++s) {
@@ -409,6 +405,12 @@
            std::min(1.0, kLongStay * usual / own);
   }
 
+  std::size_t avoided(double now) const {
+    return std::count_if(replicas_.begin(), replicas_.end(), [=, this](const Replica& r) {
+      return r.ready() && (lost(r) || now < r.full_until || share(r) < 0.5 * warm(r));
+    });
+  }
+
   // The hard guard of cold starts. No router knows what the others send, so each keeps to its own part: what
   // a replica of this size gets of this router's work when warm, times how warm it is, times a part of the
   // multiple at which it falls.
@@ -683,11 +685,8 @@
   }
 
   void refuse(Request& q) {
-    if (may_refuse(q)) {
-      sink_->busy(q.query.id, set_.retry_after ? std::min(set_.max_retry_after, q.aim) : 0.0);
-    } else {
-      sink_->fail(q.query.id);
-    }
+    const double wait = set_.retry_after ? std::min(set_.max_retry_after, q.aim) : 0.0;
+    may_refuse(q) ? sink_->busy(q.query.id, wait) : sink_->fail(q.query.id);
     finish(q);
   }
   void answer(Request& q) {
@@ -817,8 +816,7 @@
       case Outcome::full:  // no failure of the replica: it never ran it
         replicas_[t->replica].full_until = now_ + kFullFor;
         break;
-      case Outcome::cancelled:  // our own doing
-      case Outcome::moot:
+      default:  // cancelled or moot: our own doing
         break;
     }
     if (r.closed) return finish(*q);
@@ -834,11 +832,9 @@
   void on_wake(std::uint64_t cookie) {
     const std::uint64_t what = cookie >> kCookieShift;
     if (what == kListAlarm) {
-      if (!subscribed_) {
-        sink_->observe(true);
-        ask_again(ask_limit() * 1.5);  // should no answer come at all
-      }
-      return;
+      if (subscribed_) return;
+      sink_->observe(true);
+      return ask_again(ask_limit() * 1.5);  // should no answer come at all
     }
     const auto it = requests_.find(cookie & ((std::uint64_t{1} << kCookieShift) - 1));
     if (it == requests_.end() || it->second.over || it->second.bound) return;
@@ -918,6 +914,7 @@
   impl_->begin(now, sink).on_wake(cookie);
 }
 void Balancer::on_pong(double now, const Pong&, ActionSink& sink) { impl_->begin(now, sink); }
+std::size_t Balancer::avoided(double now) const { return impl_->avoided(now); }
 void Balancer::on_peer(double now, std::uint32_t, std::string_view, ActionSink& sink) {
   impl_->begin(now, sink);
 }
--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -7,8 +7,11 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "admin/figures.h"
+#include "admin/server.h"
 #include "commands/clock.h"
 #include "commands/commands.h"
 #include "config/config.h"
@@ -101,8 +104,9 @@
 }
 
 // Waits until something is ready or an alarm is due, runs what is ready, and takes the core through its turn.
-void run(boost::asio::io_context& io, core::Broker& broker, const std::function<void()>& close_idle) {
-  bool closed_idle = false;
+void run(boost::asio::io_context& io, core::Broker& broker, const std::function<void()>& serving,
+         const std::function<void()>& close_idle) {
+  bool closed_idle = false, served = false;
   while (broker.phase() != core::Phase::stopped) {
     const Micros alarm = broker.next_alarm();
     if (alarm == core::kNever) {
@@ -113,6 +117,7 @@
     for (int i = 0; i < kMostHandlersATurn && io.poll_one() > 0; ++i) {
     }
     broker.turn();
+    if (broker.ready() && !std::exchange(served, true)) serving();
     if (broker.phase() == core::Phase::draining && !broker.lingering() && !closed_idle) {
       closed_idle = true;
       close_idle();
@@ -149,7 +154,8 @@
       kSpareDescriptors +
           (file.has_kserve() ? kGrpcDescriptors + 2 * kserve::front_settings(file.kserve()).limits.connections
                              : 0) +
-          membership::resolver_settings(file.membership().resolver()).outstanding * file.has_membership());
+          membership::resolver_settings(file.membership().resolver()).outstanding * file.has_membership() +
+          admin::Server::kDescriptors * !config.admin.host.empty());
   const std::size_t shared = config.sockets - reserved;
   const auto replica_part = static_cast<std::size_t>(static_cast<double>(shared) * kReplicaPart);
   http::HttpFront* front = nullptr;
@@ -189,13 +195,31 @@
   http::HttpFront http_front(io, broker, clock, {labels(config), client_room, reserved / 2});
   front = &http_front;
   http_front.on_exhausted([&http_subchannels] { return http_subchannels.shed_idle(); });
-  error = http_front.listen(config.listen);
+  // One inherited socket may have two processes at it: only one that serves takes clients from its queue.
+  const auto open = [&broker] { return broker.phase() != core::Phase::starting; };
+  error =
+      config.accept_fd >= 0 ? http_front.listen(config.accept_fd, open) : http_front.listen(config.listen);
   if (!error.empty()) return diagnose(error);
   log::event(Level::info, "listening",
              {{"name", config.name},
               {"wire", "http"},
               {"at", config::host_port(config.listen.host, http_front.port())}});
 
+  admin::Server admin(
+      io, {[&broker] { return broker.ready(); }, [&broker] { return std::string(to_string(broker.phase())); },
+           [&broker, &config] {
+             return admin::render({&broker.counters(), config.classes, broker.open_rpcs(),
+                                   broker.listed_replicas(), broker.avoided_replicas()});
+           }});
+  if (!config.admin.host.empty()) {
+    error = admin.listen(config.admin);
+    if (!error.empty()) return diagnose(error);
+    log::event(Level::info, "listening",
+               {{"name", config.name},
+                {"wire", "admin"},
+                {"at", config::host_port(config.admin.host, admin.port())}});
+  }
+
   std::unique_ptr<tls::Keeper> front_keys, replica_keys;
   const auto use_keys = [&](const deploy::KServe& from, Keys keys, bool front_too, bool replica_too) {
     if (front_keys && front_too)
@@ -343,15 +367,18 @@
     } else {
       log::event(Level::info, "draining", {{"open", broker.open_rpcs()}});
       broker.drain();
+      if (config.accept_fd >= 0) http_front.stop_accepting();
     }
     signals.async_wait(on_signal);
   };
   signals.async_wait(on_signal);
 
-  run(io, broker, [&] {
-    http_front.close_idle();
-    if (grpc_front) grpc_front->close_idle();
-  });
+  run(
+      io, broker, [&] { http_front.look(); },
+      [&] {
+        http_front.close_idle();
+        if (grpc_front) grpc_front->close_idle();
+      });
   log::event(Level::info, "stopped", {{"connections", http_front.connections()}});
   if (grpc_front) grpc_front->stop();
   // Calls that were given up may still be gRPC's to finish; they post to the loop when it has.
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
+#include <cstring>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
@@ -135,7 +136,8 @@
   if (!root.is_object()) return "config: not a JSON object";
   if (root.contains("name") && root["name"].is_string()) out.name = root["name"].get<std::string>();
   std::string error =
-      first({read_host_port(root, "listen", out.listen), read_host_port(root, "discovery", out.discovery)});
+      first({read_host_port(root, "listen", out.listen), read_host_port(root, "discovery", out.discovery),
+             read_host_port(root, "admin_addr", out.admin)});
   if (!error.empty()) return error;
   if (const auto seed = root.find("seed"); seed != root.end()) {
     const std::string text = seed->is_string() ? seed->get<std::string>() : seed->dump();
@@ -189,6 +191,14 @@
   };
   address("GW_LISTEN", out.listen);
   if (!again || out.discovery.host.empty()) address("GW_DISCOVERY", out.discovery);
+  if (out.admin.host.empty()) address("GW_ADMIN_ADDR", out.admin);
+  if (const char* scratch = std::getenv("TMPDIR")) out.scratch = scratch;
+  if (const char* fd = std::getenv("GW_ACCEPT_FD"); fd != nullptr && *fd != '\0') {
+    const char* end = fd + std::strlen(fd);
+    const auto [at, code] = std::from_chars(fd, end, out.accept_fd);
+    if (code != std::errc() || at != end || out.accept_fd < 0)
+      return "config: GW_ACCEPT_FD is not the number of a descriptor";
+  }
   if (!error.empty()) return error;
   if (out.listen.host.empty()) return "config: no address to listen on";
   if (out.discovery.host.empty()) return "config: no address of discovery";
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -24,6 +24,9 @@
   std::string name = "router";
   HostPort listen;
   HostPort discovery;
+  HostPort admin;       // where operators call; without a host, nowhere
+  int accept_fd = -1;   // the clients' listening socket, inherited; -1: there is none, bind to listen
+  std::string scratch;  // TMPDIR; empty: none
   std::uint64_t seed = 0;
   std::size_t memory_mb = 192;
   std::size_t sockets = 1024;
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -39,15 +39,24 @@
   return "?";
 }
 
-Broker::Broker(BrokerSettings settings, pipitcleat::Settings module, std::uint64_t seed, Clock& clock,
+Broker::Broker(BrokerSettings settings, const pipitcleat::Settings& module, std::uint64_t seed, Clock& clock,
                ReplicaList& list)
     : set_(settings),
-      module_(std::move(module), seed, to_seconds(clock.now())),
+      module_(module, seed, to_seconds(clock.now())),
       clock_(clock),
       list_(list),
-      now_(clock.now()) {}
+      now_(clock.now()) {
+  counters_.answers.resize(std::max<std::size_t>(1, module.classes.size()));
+}
 Broker::~Broker() = default;
 
+std::size_t Broker::avoided_replicas() const {
+  const auto draining = std::count_if(replicas_.begin(), replicas_.end(), [](const auto& r) {
+    return r.second.replica.health == Health::draining;
+  });
+  return static_cast<std::size_t>(draining) + module_.avoided(to_seconds(clock_.now()));
+}
+
 void Broker::attach(Wire wire, Subchannels& subchannels) {
   subchannels_[static_cast<std::size_t>(wire)] = &subchannels;
 }
@@ -160,6 +169,7 @@
   const bool too_late = phase_ == Phase::draining && !lingering();
   if (too_late || body_bytes_ + e.request->body.size() > set_.body_budget) {
     ++(too_late ? counters_.unavailable : counters_.overloaded);
+    ++count(e.request->klass).refused;
     open_ids_.erase(e.request->trace_id);
     e.channel->unavailable(kSecond, false);
     return;
@@ -218,7 +228,7 @@
   if (!rpc->over() && rpc->bound < 0) {
     ++counters_.failed;
     ++counters_.rejected;
-    close(*rpc)->fail(Failure::rejected);
+    close(*rpc, &Answers::failed)->fail(Failure::rejected);
     module_.on_gone(to_seconds(now_), e.id.rpc, *this);
   }
   end_call(e.id, *rpc, *call, Outcome::cancelled);
@@ -313,6 +323,10 @@
       static_cast<std::size_t>(std::count_if(replicas_.begin(), replicas_.end(), [](const auto& r) {
         return r.second.replica.health == Health::ready;
       }));
+  listed_replicas_ =
+      static_cast<std::size_t>(std::count_if(replicas_.begin(), replicas_.end(), [](const auto& r) {
+        return r.second.replica.health != Health::gone;
+      }));
   if (phase_ == Phase::starting && heard_ && ready_replicas_ > 0) phase_ = Phase::serving;
   module_.on_list(to_seconds(now_), change, *this);
 }
@@ -377,7 +391,7 @@
   ++counters_.overdue;
   ++counters_.failed;
   if (trace_) trace_({Trace::What::failed, id, 0, 0, "overdue", now_ - rpc->came});
-  close(*rpc)->fail(now_ >= rpc->deadline ? Failure::deadline : Failure::error);
+  close(*rpc, &Answers::failed)->fail(now_ >= rpc->deadline ? Failure::deadline : Failure::error);
   module_.on_gone(to_seconds(now_), id, *this);
   drop_if_done(id, *rpc);
 }
@@ -391,6 +405,10 @@
   open_ids_.erase(rpc.request->trace_id);
   return std::exchange(rpc.channel, nullptr);
 }
+std::shared_ptr<Channel> Broker::close(Rpc& rpc, std::uint64_t Answers::*as) {
+  ++(count(rpc.request->klass).*as);
+  return close(rpc);
+}
 
 void Broker::drop_if_done(RpcId id, const Rpc& rpc) {
   if (!rpc.over()) return;
@@ -445,10 +463,10 @@
             replicas_[call.replica].replica.kind, replicas_[call.replica].replica.zone});
   if (!rpc.over() && outcome == Outcome::ok && bound) {
     ++counters_.served;
-    close(rpc)->finish();
+    close(rpc, &Answers::served)->finish();
   } else if (!rpc.over() && bound) {
     ++counters_.broken;
-    close(rpc)->break_off();
+    close(rpc, &Answers::failed)->break_off();
   }
   pipitcleat::Response r;
   r.id = id.rpc;
@@ -497,7 +515,7 @@
   if (rpc == nullptr || rpc->over() || rpc->bound >= 0) return;
   ++counters_.unavailable;
   if (trace_) trace_({Trace::What::unavailable, a.id, 0, 0, "", now_ - rpc->came});
-  close(*rpc)->unavailable(to_micros(a.not_before_for), now_ >= rpc->deadline);
+  close(*rpc, &Answers::refused)->unavailable(to_micros(a.not_before_for), now_ >= rpc->deadline);
   drop_if_done(a.id, *rpc);
 }
 
@@ -506,7 +524,7 @@
   if (rpc == nullptr || rpc->over() || rpc->bound >= 0) return;
   ++counters_.failed;
   if (trace_) trace_({Trace::What::failed, a.id, 0, 0, "", now_ - rpc->came});
-  close(*rpc)->fail(now_ >= rpc->deadline ? Failure::deadline : Failure::error);
+  close(*rpc, &Answers::failed)->fail(now_ >= rpc->deadline ? Failure::deadline : Failure::error);
   drop_if_done(a.id, *rpc);
 }
 
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -3,6 +3,7 @@
 // turn, and carries out what comes back. It knows no socket and no wire.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <functional>
@@ -37,7 +38,7 @@
 
 class Broker final : private pipitcleat::ActionSink {
  public:
-  Broker(BrokerSettings settings, pipitcleat::Settings module, std::uint64_t seed, Clock& clock,
+  Broker(BrokerSettings settings, const pipitcleat::Settings& module, std::uint64_t seed, Clock& clock,
          ReplicaList& list);
   ~Broker() override;
 
@@ -47,13 +48,20 @@
   // 0, and nothing is taken, if an open RPC has the same trace id: at the replicas the two would pass for
   // one.
   RpcId arrived(std::shared_ptr<const RpcRequest> rpc, std::shared_ptr<Channel> channel);
-  void turned_away() { ++counters_.overloaded; }  // a front had no room for an RPC
+  // A front had no room for an RPC of this class, and has refused it.
+  void turned_away(std::uint32_t klass) {
+    ++counters_.overloaded;
+    count(klass).refused++;
+  }
+  // A front has answered an RPC of this class with an error of its own.
+  void answered_wrong(std::uint32_t klass) { count(klass).failed++; }
   void client_gone(RpcId id);
   void writable(RpcId id);
   void call_events(CallId id, std::string events);  // whole events; the first ones bind the attempt
   void call_ended(CallId id, pipitcleat::Outcome outcome, std::uint32_t kept = 0,
                   std::vector<float> report = {});
-  void call_rejected(CallId id);  // the replica cannot use the request, nor could another
+  void call_rejected(CallId id);                // the replica cannot use the request, nor could another
+  void call_written() { ++counters_.written; }  // the last byte of an attempt is written; once each
   void list_news(ListNews news);
 
   // ---- the loop ----
@@ -71,6 +79,8 @@
   void drain();            // SIGTERM: finish what is here, and what still comes, then stop
   bool lingering() const;  // draining, and clients may still come
   std::size_t open_rpcs() const { return open_; }
+  std::size_t listed_replicas() const { return listed_replicas_; }  // not gone, by the list held
+  std::size_t avoided_replicas() const;  // of them, those that the module now avoids, or that drain
   const Counters& counters() const { return counters_; }
   void trace(std::function<void(const Trace&)> to) { trace_ = std::move(to); }
 
@@ -212,7 +222,12 @@
   void bind(CallId id, Rpc& rpc, const Call& call);
   void hold(CallId id, Rpc& rpc, Call& call);
   void cancel_call(CallId id, Rpc& rpc, Call& call, pipitcleat::Outcome outcome);
-  std::shared_ptr<Channel> close(Rpc& rpc);  // takes the channel for the one final answer
+  std::shared_ptr<Channel> close(Rpc& rpc);  // takes the channel; the RPC is over
+  // The same for the one final answer, which is counted here and nowhere else.
+  std::shared_ptr<Channel> close(Rpc& rpc, std::uint64_t Answers::*as);
+  Answers& count(std::uint32_t klass) {
+    return counters_.answers[std::min<std::size_t>(klass, counters_.answers.size() - 1)];
+  }
   void drop_if_done(RpcId id, const Rpc& rpc);
 
   BrokerSettings set_;
@@ -223,7 +238,7 @@
   Micros now_ = 0;
   Phase phase_ = Phase::starting;
   Micros drain_from_ = kNever;
-  std::size_t ready_replicas_ = 0;
+  std::size_t ready_replicas_ = 0, listed_replicas_ = 0;
   std::unordered_map<ReplicaId, Endpoint> replicas_;
   std::unordered_map<ReplicaId, Retired> retired_;  // since when a replica is known to drain or be gone
   bool heard_ = false;                              // the list has answered, or failed to
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -19,6 +19,7 @@
   add("gone", gone);
   add("held", held);
   add("calls", calls);
+  add("written", written);
   add("second_calls", second_calls);
   for (std::size_t i = 0; i < kOutcomes.size(); ++i) add(kOutcomes[i], outcomes[i]);
   add("list_news", list_news);
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -12,6 +12,11 @@
 inline constexpr std::array<const char*, 8> kOutcomes = {"error",          "ok",    "full",      "timeout",
                                                          "connect_failed", "reset", "cancelled", "moot"};
 
+// Final answers of one class. A broken stream has failed; what its client gave up is in none of them.
+struct Answers {
+  std::uint64_t served = 0, refused = 0, failed = 0;
+};
+
 struct Counters {
   std::uint64_t rpcs = 0;     // taken in
   std::uint64_t retries = 0;  // of them, marked as a client's retry
@@ -27,6 +32,8 @@
   std::uint64_t gone = 0;                   // clients that went away first
   std::uint64_t held = 0;                   // calls of theirs that count as their replicas' work for a while
   std::uint64_t calls = 0;                  // call attempts sent
+  std::uint64_t written = 0;                // of them, those whose last byte was written to the replica
+  std::vector<Answers> answers;             // by class, in the order of the settings
   std::uint64_t second_calls = 0;           // of them, after the first attempt of their RPC
   std::array<std::uint64_t, 8> outcomes{};  // of call attempts, by pipitcleat::Outcome
   std::uint64_t list_news = 0;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <utility>
 
+#include "http/listener.h"
 #include "http/request.h"
 
 namespace flintglade::http {
@@ -222,24 +223,26 @@
       respond(405, "POST only\n");
       return write();
     }
+    auto rpc = std::make_shared<core::RpcRequest>();
+    const std::string wrong = to_rpc(std::move(request), owner_->set_.labels, *rpc);
+    if (!wrong.empty()) {
+      respond(400, wrong + "\n");
+      return write();
+    }
     if (owner_->crowded()) {
       // The kernel takes clients in whether we accept them or not, and what they have sent then counts as
       // taken. Rather than leave them waiting in the listener's queue, tell them at once to come again.
-      owner_->broker_.turned_away();
+      owner_->broker_.turned_away(rpc->klass);
       close_after_ = true;
       respond(503, "too many clients: try again later\n", "Retry-After: 1\r\n");
       return write();
     }
-    auto rpc = std::make_shared<core::RpcRequest>();
-    const std::string wrong = to_rpc(std::move(request), owner_->set_.labels, *rpc);
-    if (!wrong.empty()) {
-      respond(400, wrong + "\n");
-      return write();
-    }
     if (owner_->over_budget()) close_after_ = true;  // served, but its descriptor is wanted back
     began_ = false;
+    const std::uint32_t klass = rpc->klass;
     rpc_ = owner_->broker_.arrived(std::move(rpc), shared_from_this());
     if (rpc_ == 0) {
+      owner_->broker_.answered_wrong(klass);
       respond(409, "a request with this id is open\n");
       write();
     }
@@ -350,24 +353,35 @@
 }
 
 std::string HttpFront::listen(const config::HostPort& at) {
-  error_code ec;
-  const auto ip = asio::ip::make_address(at.host, ec);
-  const tcp::endpoint endpoint(ip, at.port);
-  if (!ec) acceptor_.open(endpoint.protocol(), ec);
-  if (!ec) acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
-  if (!ec) acceptor_.bind(endpoint, ec);
-  if (!ec) acceptor_.listen(tcp::acceptor::max_listen_connections, ec);
-  if (ec) return "cannot listen on " + at.host + ":" + std::to_string(at.port) + ": " + ec.message();
+  const std::string error = http::listen(acceptor_, at);
+  if (error.empty()) begin();
+  return error;
+}
+std::string HttpFront::listen(int descriptor, std::function<bool()> open) {
+  const std::string error = adopt(acceptor_, descriptor);
+  open_ = std::move(open);
+  if (error.empty()) begin();
+  return error;
+}
+void HttpFront::begin() {
   port_ = acceptor_.local_endpoint().port();
   accept();
-  return "";
+}
+void HttpFront::look() {
+  if (!accepting_ && acceptor_.is_open()) accept();
+}
+// What has been accepted is served; what waits in the queue is another process's.
+void HttpFront::stop_accepting() {
+  stopped_ = true;
+  error_code ignored;
+  acceptor_.close(ignored);
 }
 
 void HttpFront::accept() {
   // Past the budget of descriptors a few more are let in, to be told so; beyond them new clients wait in the
   // listener's queue until a connection ends.
   if (connections_.size() >= set_.room()) make_room();
-  accepting_ = connections_.size() < set_.room() + set_.crowd;
+  accepting_ = !stopped_ && (!open_ || open_()) && connections_.size() < set_.room() + set_.crowd;
   if (wants_room()) sweeper_.by(clock_.now() + Due::kApart);
   if (!accepting_) return;
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
@@ -431,7 +445,7 @@
   for (const auto& c : expired) c->expire();
   make_room();
   // Accepting stops while nobody can be let in; it is looked at here too, not only when a connection ends.
-  if (!accepting_ && acceptor_.is_open()) accept();
+  look();
   Micros next = core::kNever;
   for (const auto& c : connections_) next = std::min(next, c->due());
   sweeper_.by(wants_room() ? now + Due::kApart : std::max(next, now + Due::kApart));
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -25,7 +25,13 @@
  public:
   HttpFront(boost::asio::io_context& io, core::Broker& broker, core::Clock& clock, FrontSettings settings);
   ~HttpFront();
-  std::string listen(const config::HostPort& at);  // empty, or one line that says what is wrong
+  // Each gives an empty string, or one line that says what is wrong.
+  std::string listen(const config::HostPort& at);
+  // From a socket that others may accept from too: only while open() says so, and not any more once the
+  // router drains, since another process is there for new clients.
+  std::string listen(int descriptor, std::function<bool()> open);
+  void look();  // open() may have changed its mind
+  void stop_accepting();
   std::uint16_t port() const { return port_; }
   std::size_t connections() const { return connections_.size(); }
   // Called when no descriptor is left: gives one back elsewhere.
@@ -34,6 +40,7 @@
 
  private:
   class Connection;
+  void begin();
   void accept();
   void accept_later();
   void sweep();
@@ -52,7 +59,8 @@
   std::function<bool()> shed_;
   std::set<std::shared_ptr<Connection>> connections_;
   std::uint16_t port_ = 0;
-  bool accepting_ = false;
+  std::function<bool()> open_;  // empty: always
+  bool accepting_ = false, stopped_ = false;
 };
 
 }  // namespace flintglade::http
--- /dev/null
+++ b/src/http/listener.h
@@ -0,0 +1,18 @@
+// Listening sockets: bound here, or inherited from whoever started the process.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <string>
+
+#include "config/config.h"
+
+namespace flintglade::http {
+
+// Binds and listens. Gives an empty string, or one line that says what is wrong.
+std::string listen(boost::asio::ip::tcp::acceptor& acceptor, const config::HostPort& at);
+
+// Takes over a listening TCP socket that the process inherited as this descriptor. Several processes may
+// accept from it; it stays open when they end. Gives an empty string, or one line that says what is wrong.
+std::string adopt(boost::asio::ip::tcp::acceptor& acceptor, int descriptor);
+
+}  // namespace flintglade::http
--- a/src/http/subchannels.cpp
+++ b/src/http/subchannels.cpp
@@ -107,6 +107,7 @@
       if (self->owner_ == nullptr) return;
       if (ec) return self->end(Outcome::connect_failed);  // broke before the last byte: never ran
       self->written_ = true;
+      self->owner_->broker_.call_written();
     });
   }
 
--- a/src/kserve/subchannels.cpp
+++ b/src/kserve/subchannels.cpp
@@ -97,7 +97,10 @@
 
   // ---- on gRPC's threads ----
   void OnWriteDone(bool ok) override {
-    post([this, ok] { written_ = ok; });
+    post([this, ok] {
+      written_ = ok;
+      if (ok) owner_.broker_.call_written();
+    });
   }
   void OnReadDone(bool ok) override {
     post([this, ok] { got(ok); });
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -64,8 +64,8 @@
 class Program {
  public:
   Program(const std::string& path, unsigned short discovery, Protocol protocol, const std::string& sockets,
-          const std::string& membership, const std::string& kserve, int replayed = 0)
-      : kserve_(protocol == Protocol::kserve), more_(kserve), path_(path) {
+          const std::string& membership, const std::string& kserve, bool admin = false, int replayed = 0)
+      : kserve_(protocol == Protocol::kserve), admin_(admin), more_(kserve), path_(path) {
     char name[] = "/tmp/flintglade-test-XXXXXX";
     if (mkdtemp(name) == nullptr) wrong("no folder for the configuration");
     folder_ = name;
@@ -135,6 +135,7 @@
     std::ofstream(folder_ + "/config.json")
         << "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"discovery\":"
         << "\"127.0.0.1:" << discovery << "\",\"seed\":\"8c1f\","
+        << (admin_ ? "\"admin_addr\":\"127.0.0.1:0\"," : "")
         << "\"limits\":{\"memory_mb\":192,\"sockets\":" << sockets_ << "},"
         << "\"settings\":" << kSettings << "}";
   }
@@ -220,7 +221,7 @@
       writer.end(exchange, true, at);
     }
   }
-  bool kserve_;
+  bool kserve_, admin_;
   std::string more_, path_, folder_, log_, sockets_;
   std::size_t seen_ = 0;  // of the log, by reload
   std::mutex mutex_;
@@ -246,7 +247,25 @@
       in >> n;
       return verb == "replay" ? replay(n) : recorded(n);
     }
+    if (verb == "operators") return void(admin_ = true);
     in >> a;
+    if (verb == "figure") {
+      in >> b;
+      return until("the figure", [&] {
+        return http_call(operators_, "GET", "/_vars").find("\n" + a + " " + b + "\n") != std::string::npos;
+      });
+    }
+    if (verb == "callers") {
+      in >> b;
+      for (int i = 0; i < std::stoi(a); ++i)
+        clients_["caller" + std::to_string(i)] = make_raw_client(operators_, unescape(b));
+      return;
+    }
+    if (verb == "call") {
+      in >> b >> c;
+      const std::string got = http_call(operators_, a, b);
+      return got.rfind(c + " ", 0) == 0 ? void() : wrong("it was " + got);
+    }
     if (verb == "start") return start(a.empty() ? "1024" : a);
     if (verb == "start_fails") {
       Program program(path_, discovery_.port(), protocol_, "1024", membership(), kserve());
@@ -595,18 +614,20 @@
     discovery_.change(entries);
   }
   void start(const std::string& sockets) {
-    program_ =
-        std::make_unique<Program>(path_, discovery_.port(), protocol_, sockets, membership(), kserve());
+    program_ = std::make_unique<Program>(path_, discovery_.port(), protocol_, sockets, membership(), kserve(),
+                                         admin_);
     const bool kserve = protocol_ == Protocol::kserve;
     until("the port", [&] {
       front_ = program().port("wire=http at=127.0.0.1:");
       port_ = kserve ? program().port("wire=kserve at=127.0.0.1:") : front_;
-      return port_ != 0;
+      if (admin_) operators_ = program().port("wire=admin at=127.0.0.1:");
+      return port_ != 0 && (!admin_ || operators_ != 0);
     });
     until("readiness", [&] { return http_status(front_, "/ready") == 200; });
   }
   void replay(int requests) {
-    program_ = std::make_unique<Program>(path_, discovery_.port(), protocol_, "1024", "", "", requests);
+    program_ =
+        std::make_unique<Program>(path_, discovery_.port(), protocol_, "1024", "", "", false, requests);
     program().wait_for_exit();
   }
   void recorded(int requests) {
@@ -684,7 +705,8 @@
   std::map<std::string, std::unique_ptr<Client>> clients_;
   std::map<std::string, std::unique_ptr<Stream>> streams_;
   std::vector<std::unique_ptr<Stream>> held_;
-  unsigned short port_ = 0, front_ = 0;
+  unsigned short port_ = 0, front_ = 0, operators_ = 0;
+  bool admin_ = false;
 };
 
 }  // namespace
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -46,6 +46,10 @@
 //   forget ID                    the client is gone, and its connection if it had one of its own ('send ID
 //   own') start_fails WORDS            the program ends with status 1 and one plain line that has these words
 //   logged WORD                  until its log has it
+//   operators                    before the start: it listens for operators too
+//   figure NAME VALUE            until /_vars has this line
+//   call METHOD PATH STATUS      what operators get
+//   callers N [BYTES]            operators' callers that send just these and stay
 //   stop                         SIGTERM, and a clean exit
 #pragma once
 
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -786,16 +786,19 @@
                                                                 : status.error_message();
 }
 
-int http_status(unsigned short port, const std::string& path) {
+std::string http_call(unsigned short port, const std::string& method, const std::string& path) {
   asio::io_context io;
   tcp::socket socket(io);
   error_code ec;
   socket.connect(loopback(port), ec);
-  if (ec || !send_all(socket, "GET " + path + " HTTP/1.1\r\nHost: b\r\n\r\n")) return 0;
+  if (ec || !send_all(socket, method + " " + path + " HTTP/1.1\r\nHost: b\r\n\r\n")) return "";
   boost::beast::flat_buffer buffer;
   http::response<http::string_body> response;
   http::read(socket, buffer, response, ec);
-  return ec ? 0 : static_cast<int>(response.result_int());
+  return ec ? "" : std::to_string(response.result_int()) + " " + response.body();
+}
+int http_status(unsigned short port, const std::string& path) {
+  return std::atoi(http_call(port, "GET", path).c_str());
 }
 
 }  // namespace flintglade::tests
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -119,5 +119,7 @@
 // What ModelMetadata says of a model, in one line; or the name of the status.
 std::string grpc_describe(unsigned short port, const std::string& model, const std::string& version);
 int http_status(unsigned short port, const std::string& path);  // 0: no answer
+// One call on a connection of its own: "STATUS BODY"; empty: no answer.
+std::string http_call(unsigned short port, const std::string& method, const std::string& path);
 
 }  // namespace flintglade::tests
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 
+#include "admin/figures.h"
 #include "check.h"
 #include "config/config.h"
 #include "config/labels.h"
@@ -744,6 +745,19 @@
   CHECK(a.size() == 256 && b.size() == 256 && a != b);
 }
 
+void figures_are_text() {
+  core::Counters counters;
+  counters.answers = {{3, 2, 1}, {0, 0, 1'234'567'890'123}};
+  counters.written = 7;
+  const std::string text = admin::render({&counters, {"chat", "a\"b"}, 4, 12, 2});
+  for (const char* line :
+       {"app_responses{kind=\"chat\",result=\"ok\"} 3\n", "app_responses{kind=\"chat\",result=\"shed\"} 2\n",
+        "app_responses{kind=\"chat\",result=\"errors\"} 1\n",
+        "app_responses{kind=\"a\\\"b\",result=\"errors\"} 1234567890123\n", "\napp_tries 7\n",
+        "\napp_active 4\n", "\napp_pool_size 12\n", "\napp_pool_ejected 2\n"})
+    CHECK(text.find(line) != std::string::npos);
+}
+
 }  // namespace
 
 int main() {
@@ -775,6 +789,7 @@
                                          a_certificate_speaks_for_its_tenant,
                                          the_highest_version_is_by_number,
                                          names_fit_into_a_header,
+                                         figures_are_text,
                                          a_storm_of_like_lines_is_counted,
                                          savefiles_give_back_what_was_written};
   for (const auto& test : tests) test();
