Crowds give way to true requests; processes of one router share one budget by seats

Some 3,900 connections that asked once and stayed held their place 2.1 s, 1,700 that never finished a request 2.1 to 2.5 s; at fault: HttpFront::accept and make_room, which let only quiet clients go and then stopped accepting. A first try closed on true requests: their bytes had been read, but their handler had not run (28 of 238 at the door); a connection is judged only after its first read, and its times count from the handshake (TCP_INFO).

Change: http/crowd.h (pure) says who goes; handover/parts (pure) and handover/seats share descriptors and bodies.

--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -1,4 +1,6 @@
 // The real router: wires the packages together and runs the loop. It decides nothing.
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
@@ -18,6 +20,8 @@
 #include "config/labels.h"
 #include "core/broker.h"
 #include "discovery/watch.h"
+#include "handover/parts.h"
+#include "handover/seats.h"
 #include "http/front.h"
 #include "http/subchannels.h"
 #include "kserve/credentials.h"
@@ -104,8 +108,9 @@
 }
 
 // Waits until something is ready or an alarm is due, runs what is ready, and takes the core through its turn.
-void run(boost::asio::io_context& io, core::Broker& broker, const std::function<void()>& serving,
-         const std::function<void()>& close_idle) {
+// before: each turn.
+void run(boost::asio::io_context& io, core::Broker& broker, const std::function<void()>& before,
+         const std::function<void()>& serving, const std::function<void()>& close_idle) {
   bool closed_idle = false, served = false;
   while (broker.phase() != core::Phase::stopped) {
     const Micros alarm = broker.next_alarm();
@@ -116,6 +121,7 @@
     }
     for (int i = 0; i < kMostHandlersATurn && io.poll_one() > 0; ++i) {
     }
+    before();
     broker.turn();
     if (broker.ready() && !std::exchange(served, true)) serving();
     if (broker.phase() == core::Phase::draining && !broker.lingering() && !closed_idle) {
@@ -156,9 +162,37 @@
                              : 0) +
           membership::resolver_settings(file.membership().resolver()).outstanding * file.has_membership() +
           admin::Server::kDescriptors * !config.admin.host.empty());
-  const std::size_t shared = config.sockets - reserved;
-  const auto replica_part = static_cast<std::size_t>(static_cast<double>(shared) * kReplicaPart);
   http::HttpFront* front = nullptr;
+  const http::HttpSubchannels* replicas = nullptr;
+  const core::Broker* core = nullptr;
+  // Processes that share the clients' socket share the router's limits as well.
+  const handover::Part whole{config.sockets, (config.memory_mb << 20) / 4};
+  handover::Seats seats;
+  if (config.accept_fd >= 0) {
+    const std::string why = seats.join(config.scratch, config.name);
+    if (!why.empty()) log::event(Level::warn, "no_seat", {{"why", why}, {"limits", "as if alone"}});
+  }
+  const auto use = [&] {
+    handover::Use out{handover::Stage::starting, reserved, 0};
+    if (core != nullptr && core->phase() != core::Phase::starting)
+      out.stage = core->ready() ? handover::Stage::serving : handover::Stage::draining;
+    out.sockets +=
+        (front != nullptr ? front->connections() : 0) + (replicas != nullptr ? replicas->connections() : 0);
+    if (core != nullptr) out.bodies = core->body_bytes();
+    return out;
+  };
+  const auto mine = [&] {
+    if (!seats.seated()) return whole;
+    seats.publish(use());
+    return handover::part(whole, use(), seats.others());
+  };
+  const auto shared = [&mine, reserved] {
+    const std::size_t sockets = mine().sockets;
+    return sockets - std::min(sockets, reserved);
+  };
+  const auto replica_part = [](std::size_t of) {
+    return static_cast<std::size_t>(static_cast<double>(of) * kReplicaPart);
+  };
   discovery::Watch watch(io, config.discovery, {config.zones, config.kinds, unix_to_monotonic(clock)});
   core::BrokerSettings settings;
   settings.drain_grace = config.drain_grace;
@@ -166,12 +200,13 @@
   settings.cancel_hold = static_cast<Micros>(file.calls().cancel_hold_s() * 1e6);
   if (!config.module.resume) settings.stall = kLongestGap;
   settings.drain_limit = std::min(settings.drain_limit, longest(config.module) + 400 * core::kMilli);
-  settings.body_budget = (config.memory_mb << 20) / 4;
+  settings.body_budget = whole.bodies;
   std::unique_ptr<membership::Sources> sources;
   if (file.has_membership())
     sources = std::make_unique<membership::Sources>(io, clock, watch, file.membership(), specs);
   core::ReplicaList& list = sources ? static_cast<core::ReplicaList&>(*sources) : watch;
   core::Broker broker(settings, config.module, config.seed, clock, list);
+  core = &broker;
   if (log::enabled(Level::debug)) broker.trace(write_trace);
   const auto told = [&broker](core::ListNews news) { broker.list_news(std::move(news)); };
   if (sources) {
@@ -184,19 +219,24 @@
   http_settings.dial_timeout = config.dial_timeout;
   http_settings.conn_idle = config.conn_idle;
   http_settings.room = [&front, shared, replica_part] {
-    return std::max(replica_part, shared - std::min(shared, front->connections()));
+    const std::size_t all = shared();
+    return std::max(replica_part(all), all - std::min(all, front->connections()));
   };
   http::HttpSubchannels http_subchannels(io, broker, clock, http_settings);
+  replicas = &http_subchannels;
   broker.attach(core::Wire::http, http_subchannels);
   const auto client_room = [&http_subchannels, shared, replica_part] {
-    const std::size_t calls = http_subchannels.connections();
-    return shared - std::min(shared, std::max(replica_part, calls + calls / 8 + 6));
+    const std::size_t all = shared(), calls = http_subchannels.connections();
+    return all - std::min(all, std::max(replica_part(all), calls + calls / 8 + 6));
   };
   http::HttpFront http_front(io, broker, clock, {labels(config), client_room, reserved / 2});
   front = &http_front;
   http_front.on_exhausted([&http_subchannels] { return http_subchannels.shed_idle(); });
-  // One inherited socket may have two processes at it: only one that serves takes clients from its queue.
-  const auto open = [&broker] { return broker.phase() != core::Phase::starting; };
+  // One inherited socket may have two processes at it: one that starts leaves its queue to the one that
+  // serves.
+  const auto open = [&broker, &seats] {
+    return broker.phase() != core::Phase::starting || (seats.seated() && seats.others().empty());
+  };
   error =
       config.accept_fd >= 0 ? http_front.listen(config.accept_fd, open) : http_front.listen(config.listen);
   if (!error.empty()) return diagnose(error);
@@ -357,6 +397,26 @@
     });
   };
   tell_unready(kFirstUnready);
+  // Whether another process is there for new clients.
+  const auto succeeded = [&seats] {
+    const auto others = seats.others();
+    return std::any_of(others.begin(), others.end(),
+                       [](const handover::Use& o) { return o.stage == handover::Stage::serving; });
+  };
+  boost::asio::posix::stream_descriptor seat_changes(io);
+  std::array<char, 4096> seat_events{};
+  std::function<void()> watch_seats = [&] {
+    seat_changes.async_read_some(boost::asio::buffer(seat_events),
+                                 [&](boost::system::error_code ec, std::size_t) {
+                                   if (ec) return;
+                                   http_front.look();
+                                   watch_seats();
+                                 });
+  };
+  if (seats.changes() >= 0) {
+    seat_changes.assign(::dup(seats.changes()));
+    watch_seats();
+  }
   std::function<void(boost::system::error_code, int)> on_signal = [&](boost::system::error_code ec,
                                                                       int signal) {
     if (ec) return;
@@ -367,16 +427,23 @@
     } else {
       log::event(Level::info, "draining", {{"open", broker.open_rpcs()}});
       broker.drain();
-      if (config.accept_fd >= 0) http_front.stop_accepting();
+      if (config.accept_fd >= 0 && (!seats.seated() || succeeded())) http_front.stop_accepting();
     }
     signals.async_wait(on_signal);
   };
   signals.async_wait(on_signal);
 
   run(
-      io, broker, [&] { http_front.look(); },
+      io, broker,
+      [&] {
+        if (!seats.seated()) return;
+        seats.publish(use());
+        broker.body_budget(mine().bodies);
+      },
+      [&] { http_front.look(); },
       [&] {
         http_front.close_idle();
+        if (config.accept_fd >= 0) http_front.stop_accepting();
         if (grpc_front) grpc_front->close_idle();
       });
   log::event(Level::info, "stopped", {{"connections", http_front.connections()}});
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -79,7 +79,9 @@
   void drain();            // SIGTERM: finish what is here, and what still comes, then stop
   bool lingering() const;  // draining, and clients may still come
   std::size_t open_rpcs() const { return open_; }
-  std::size_t listed_replicas() const { return listed_replicas_; }  // not gone, by the list held
+  std::size_t body_bytes() const { return body_bytes_; }
+  void body_budget(std::size_t bytes) { set_.body_budget = bytes; }  // for what comes from now on
+  std::size_t listed_replicas() const { return listed_replicas_; }   // not gone, by the list held
   std::size_t avoided_replicas() const;  // of them, those that the module now avoids, or that drain
   const Counters& counters() const { return counters_; }
   void trace(std::function<void(const Trace&)> to) { trace_ = std::move(to); }
--- /dev/null
+++ b/src/handover/seats.h
@@ -0,0 +1,48 @@
+// The seats of one router's processes: a small file in its scratch folder, mapped by each. A seat is held by
+// a lock on its bytes, which the kernel takes back when the process ends, however it ends; nobody has to say
+// good bye, and what a dead one left is not counted.
+//
+// The file is of this form: 16 bytes (magic, version, hash of the router's name), then kSeats seats of 64
+// bytes. A file of another form that nobody holds a seat in is made anew; one that somebody does is let be,
+// and this process goes on without a seat.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "handover/parts.h"
+
+namespace flintglade::handover {
+
+class Seats {
+ public:
+  static constexpr std::size_t kSeats = 8;
+  Seats() = default;
+  ~Seats();
+  Seats(const Seats&) = delete;
+  Seats& operator=(const Seats&) = delete;
+
+  // Takes a free seat. Gives an empty string, or one line that says why there is none; it is then as if the
+  // process were alone.
+  std::string join(const std::string& folder, const std::string& router);
+  bool seated() const { return mine_ >= 0; }
+  // For the others to read: no system call.
+  void publish(const Use& use);
+  // Those of processes that live. A seat that looks taken is asked for with a system call.
+  std::vector<Use> others() const;
+  // A descriptor that becomes readable when somebody joins or leaves, for a loop to wait on, and to read
+  // empty; owned here. -1: none.
+  int changes() const { return notify_; }
+
+ private:
+  struct Seat;
+  struct Page;
+  bool held(std::size_t seat) const;
+
+  int file_ = -1, notify_ = -1;
+  int mine_ = -1;
+  Page* page_ = nullptr;
+};
+
+}  // namespace flintglade::handover
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -1,5 +1,9 @@
 #include "http/front.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -71,10 +75,18 @@
   Connection(HttpFront& owner, tcp::socket socket) : owner_(&owner), socket_(std::move(socket)) {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
-    since_ = connected_ = owner.clock_.now();
+    since_ = heard_ = connected_ = owner.clock_.now();
+    if (owner.wants_room()) count_queue();
     renew();
   }
 
+  // What the client has written while it stood in the queue is taken before anybody asks what it has said:
+  // the handler of the first read comes before ours.
+  void begin() {
+    read();
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->looked_ = true; });
+  }
+
   void read() {
     if (owner_ == nullptr) return;
     owner_->sweeper_.by(due());  // every step but a write ends here
@@ -85,6 +97,7 @@
                               self->reading_ = false;
                               if (self->owner_ == nullptr) return;
                               if (ec) return self->drop();
+                              self->heard_ = self->owner_->clock_.now() - std::exchange(self->queued_, 0);
                               self->buffer_.commit(n);
                               // What follows a refused request is not read as another.
                               if (self->refused_) self->buffer_.consume(self->buffer_.size());
@@ -154,11 +167,21 @@
     return connected_ + (half_ ? kFirstRequest : kSilent);
   }
   bool quiet(Micros now) const { return idle() && asked_ && now - since_ > kQuiet; }
+  Client client() const {
+    const bool busy = rpc_ != 0 || writing_ || !out_.empty() || !looked_;
+    const bool half = !lingering_ && (half_ || buffer_.size() > 0);
+    return {busy, asked_ || lingering_, half, connected_, half ? heard_ : std::max(since_, heard_)};
+  }
   // Its time is up: a client that has begun a request is told, any other sees the end of its connection.
   void expire() {
     if (!half_ || refused_ || writing_ || !out_.empty()) return drop();
     refuse(408, "the request did not come in time\n");
   }
+  // The same where it goes for want of room, and may come again.
+  void make_way() {
+    if (!half_ || refused_ || writing_ || !out_.empty()) return drop();
+    refuse(503, "too many clients: try again later\n", "Retry-After: 1\r\n");
+  }
   // Ends the connection; a client whose RPC is still open has gone away.
   void drop() {
     if (owner_ == nullptr) return;
@@ -173,6 +196,17 @@
   }
 
  private:
+  // A connection may have stood in the listener's queue for long: its times are those of its handshake and of
+  // the last byte that came, not of our look at it. Seen without: each of thousands was waited for anew.
+  void count_queue() {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return;
+    const Micros data = info.tcpi_last_data_recv * core::kMilli,
+                 word = info.tcpi_last_ack_recv * core::kMilli;
+    queued_ = std::min({data, word, kSilent});
+    connected_ -= std::min(word, kSilent);
+  }
   void renew() {
     parser_.emplace();
     parser_->eager(true);
@@ -237,7 +271,7 @@
       respond(503, "too many clients: try again later\n", "Retry-After: 1\r\n");
       return write();
     }
-    if (owner_->over_budget()) close_after_ = true;  // served, but its descriptor is wanted back
+    if (owner_->wants_room()) close_after_ = true;  // served, but its descriptor is wanted back
     began_ = false;
     const std::uint32_t klass = rpc->klass;
     rpc_ = owner_->broker_.arrived(std::move(rpc), shared_from_this());
@@ -258,10 +292,10 @@
   }
 
   // An error after which nothing on this connection can be trusted.
-  void refuse(unsigned status, const char* why) {
+  void refuse(unsigned status, const char* why, const char* extra = "") {
     close_after_ = refused_ = true;
     buffer_.consume(buffer_.size());
-    respond(status, why);
+    respond(status, why, extra);
     write();
     read();
   }
@@ -332,8 +366,11 @@
   std::string out_, sending_;
   core::RpcId rpc_ = 0;  // the RPC that waits for its answer; 0: none
   Micros since_ = 0;     // the last step forward: a request's first byte, or a write
+  Micros heard_ = 0;     // the last byte that came
+  Micros queued_ = 0;    // how long the first byte that is read has waited for us
   Micros connected_ = 0;
-  bool asked_ = false;  // a whole request has come on it
+  bool looked_ = false;  // what came with the connection has been read
+  bool asked_ = false;   // a whole request has come on it
   bool reading_ = false, writing_ = false, began_ = false, held_up_ = false, half_ = false,
        close_after_ = false, refused_ = false, lingering_ = false;
 };
@@ -369,6 +406,7 @@
 }
 void HttpFront::look() {
   if (!accepting_ && acceptor_.is_open()) accept();
+  if (wants_room()) sweeper_.by(clock_.now());
 }
 // What has been accepted is served; what waits in the queue is another process's.
 void HttpFront::stop_accepting() {
@@ -380,7 +418,7 @@
 void HttpFront::accept() {
   // Past the budget of descriptors a few more are let in, to be told so; beyond them new clients wait in the
   // listener's queue until a connection ends.
-  if (connections_.size() >= set_.room()) make_room();
+  if (crowd().pressing(connections_.size())) make_room();
   accepting_ = !stopped_ && (!open_ || open_()) && connections_.size() < set_.room() + set_.crowd;
   if (wants_room()) sweeper_.by(clock_.now() + Due::kApart);
   if (!accepting_) return;
@@ -393,7 +431,7 @@
     }
     const auto connection = std::make_shared<Connection>(*this, std::move(socket));
     connections_.insert(connection);
-    connection->read();
+    connection->begin();
     accept();
   });
 }
@@ -408,24 +446,35 @@
 bool HttpFront::crowded() const { return over_budget() && broker_.open_rpcs() >= set_.room(); }
 // Quiet connections are to go, or nobody can be let in: that is looked at now and again.
 bool HttpFront::wants_room() const {
-  return connections_.size() > set_.room() / 2 || (!accepting_ && acceptor_.is_open());
+  return crowd().filling(connections_.size()) || (!accepting_ && acceptor_.is_open());
 }
 bool HttpFront::over_budget() const { return connections_.size() > set_.room(); }
 
-// Clients may ask once and hold their connection for good: beyond half of the budget, quiet ones go, the
-// longest quiet first.
+// Clients may ask once and hold their connection for good, or never ask: http/crowd.h says who goes, and
+// when.
 void HttpFront::make_room() {
   const Micros now = clock_.now();
-  const std::size_t enough = set_.room() / 2;
-  if (connections_.size() <= enough) return;
-  std::vector<std::shared_ptr<Connection>> quiet;
-  std::copy_if(connections_.begin(), connections_.end(), std::back_inserter(quiet),
-               [now](const auto& c) { return c->quiet(now); });
-  std::sort(quiet.begin(), quiet.end(), [](const auto& a, const auto& b) { return a->since() < b->since(); });
+  const Crowd crowd = this->crowd();
+  if (!crowd.filling(connections_.size())) return;
+  struct Leaver {
+    int order;
+    Micros moved;
+    std::shared_ptr<Connection> connection;
+  };
+  std::vector<Leaver> leavers;
+  const bool pressing = crowd.pressing(connections_.size());
+  for (const auto& c : connections_) {
+    const Client client = c->client();
+    const int order = pressing ? Crowd::order(client, now) : c->quiet(now) ? 0 : Crowd::kNobody;
+    if (order != Crowd::kNobody) leavers.push_back({order, client.moved, c});
+  }
+  std::sort(leavers.begin(), leavers.end(), [](const Leaver& a, const Leaver& b) {
+    return a.order != b.order ? a.order < b.order : a.moved < b.moved;
+  });
   const bool was_accepting = std::exchange(accepting_, true);  // drop() is not to accept meanwhile
-  for (const auto& c : quiet) {
-    if (connections_.size() <= enough) break;
-    c->drop();
+  for (const Leaver& l : leavers) {
+    if (!(pressing ? crowd.pressing(connections_.size()) : crowd.filling(connections_.size()))) break;
+    l.connection->make_way();
   }
   accepting_ = was_accepting;
 }
@@ -445,7 +494,7 @@
   for (const auto& c : expired) c->expire();
   make_room();
   // Accepting stops while nobody can be let in; it is looked at here too, not only when a connection ends.
-  look();
+  if (!accepting_ && acceptor_.is_open()) accept();
   Micros next = core::kNever;
   for (const auto& c : connections_) next = std::min(next, c->due());
   sweeper_.by(wants_room() ? now + Due::kApart : std::max(next, now + Due::kApart));
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -11,6 +11,7 @@
 #include "config/labels.h"
 #include "core/broker.h"
 #include "core/ports.h"
+#include "http/crowd.h"
 #include "http/due.h"
 
 namespace flintglade::http {
@@ -27,10 +28,9 @@
   ~HttpFront();
   // Each gives an empty string, or one line that says what is wrong.
   std::string listen(const config::HostPort& at);
-  // From a socket that others may accept from too: only while open() says so, and not any more once the
-  // router drains, since another process is there for new clients.
+  // From a socket that other processes may accept from too: only while open() says so.
   std::string listen(int descriptor, std::function<bool()> open);
-  void look();  // open() may have changed its mind
+  void look();  // open() or the room may have changed their mind
   void stop_accepting();
   std::uint16_t port() const { return port_; }
   std::size_t connections() const { return connections_.size(); }
@@ -47,6 +47,7 @@
   bool crowded() const;
   bool over_budget() const;
   bool wants_room() const;
+  Crowd crowd() const { return Crowd(set_.room()); }
   void make_room();
 
   boost::asio::io_context& io_;
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -19,6 +19,7 @@
 #include "dns_server.h"
 #include "pcap/reader.h"
 #include "pcap/writer.h"
+#include "settings.h"
 #include "stand_ins.h"
 
 namespace flintglade::tests {
@@ -28,17 +29,6 @@
 
 constexpr auto kPatience = 20s;  // how long a step waits for what must come; no verdict hangs on less
 
-// One class whose repeats are harmless, and one whose are not.
-constexpr char kSettings[] = R"({"service_type":"llm","balancers":1,"rank":0,"az":0,
- "failure_domains":["hall"],"models":["gpu"],"registry_mode":"on_request","weight_source":"rough",
- "classes":[{"name":"chat","aim":1.2,"hard_limit":8,"worth":5,"semantics":"safe","streamed":true},
-            {"name":"order","aim":1.2,"hard_limit":8,"worth":5,"semantics":"unsafe","streamed":true}],
- "accounts":[{"name":"acme","quota_per_s":100,"share":1}],
- "permissions":{"may_cancel":true,"may_duplicate":true,"most_tries":3,"retry_after":true,
-                "max_retry_after":2,"dial_timeout":0.15,"conn_idle":5},
- "invariants":{"cold":0.1,"cold_from":1,"drain_grace":2,"grace_to_answer":0.02,"must_ask_in":10,"fall":3,
-               "fall_multiple":100}})";
-
 [[noreturn]] void wrong(const std::string& what) { throw std::runtime_error(what); }
 
 void until(const std::string& what, const std::function<bool()>& so) {
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -18,6 +18,8 @@
 #include "config/labels.h"
 #include "core/broker.h"
 #include "discovery/entries.h"
+#include "handover/parts.h"
+#include "http/crowd.h"
 #include "http/front.h"
 #include "http/sse.h"
 #include "http/subchannels.h"
@@ -745,6 +747,56 @@
   CHECK(a.size() == 256 && b.size() == 256 && a != b);
 }
 
+void who_goes_first_in_a_crowd() {
+  using http::Client;
+  using http::Crowd;
+  constexpr Micros now = 100 * core::kSecond, ms = core::kMilli;
+  struct Row {
+    Client client;
+    int order;
+  };
+  const Row rows[] = {
+      // busy, asked, half, connected, moved
+      {{true, true, false, 0, 0}, Crowd::kNobody},               // a request is open: never
+      {{false, true, false, 0, now - 90 * ms}, Crowd::kNobody},  // its answer may be on its way
+      {{false, true, false, 0, now - 110 * ms}, 0},              // it has its answer
+      {{false, false, false, now - 240 * ms, now - 240 * ms}, Crowd::kNobody},  // it may be about to write
+      {{false, false, false, now - 260 * ms, now - 260 * ms}, 1},
+      {{false, false, true, now - 2000 * ms, now - 200 * ms}, Crowd::kNobody},  // it writes in pieces
+      {{false, false, true, now - 2000 * ms, now - 300 * ms}, 2},
+      {{false, true, true, 0, now - 300 * ms}, 2},  // the next request on a kept connection, stopped half-way
+  };
+  for (const Row& row : rows) CHECK(Crowd::order(row.client, now) == row.order);
+  const Crowd crowd(80);
+  CHECK(!crowd.filling(40) && crowd.filling(41) && !crowd.pressing(70) && crowd.pressing(71));
+}
+
+// Whatever two or three processes hold, what each may hold on top keeps the sum within the whole.
+void processes_of_one_router_share_one_budget() {
+  using handover::Part;
+  using handover::Stage;
+  using handover::Use;
+  const Part whole{384, 1000};
+  const Stage stages[] = {Stage::starting, Stage::serving, Stage::draining};
+  CHECK(handover::part(whole, {Stage::serving, 100, 0}, {}).sockets == 384 - handover::kStart);
+  for (const Stage own : stages) {
+    for (const Stage other : stages) {
+      for (std::size_t held = 0; held <= 400; held += 8) {
+        const Use a{own, 0, 0}, b{other, held, held * 3};
+        const Use two[] = {b, {Stage::draining, 50, 10}};
+        for (const auto& others : {std::span<const Use>(two, 1), std::span<const Use>(two, 2)}) {
+          std::size_t sockets = 0, bodies = 0;
+          for (const Use& o : others) sockets += o.sockets, bodies += o.bodies;
+          const Part mine = handover::part(whole, a, others);
+          CHECK(mine.sockets == 0 || mine.sockets + sockets <= whole.sockets);
+          CHECK(mine.bodies == 0 || mine.bodies + bodies <= whole.bodies);
+          if (own == Stage::serving && other == Stage::starting) CHECK(mine.sockets <= whole.sockets / 2);
+        }
+      }
+    }
+  }
+}
+
 void figures_are_text() {
   core::Counters counters;
   counters.answers = {{3, 2, 1}, {0, 0, 1'234'567'890'123}};
@@ -790,6 +842,8 @@
                                          the_highest_version_is_by_number,
                                          names_fit_into_a_header,
                                          figures_are_text,
+                                         who_goes_first_in_a_crowd,
+                                         processes_of_one_router_share_one_budget,
                                          a_storm_of_like_lines_is_counted,
                                          savefiles_give_back_what_was_written};
   for (const auto& test : tests) test();
