Scenarios start their program through the process harness; upgrades without discovery

Need: two ways to start the program in tests; hard cases without a test: discovery down throughout, SIGHUP during an upgrade. Change: tests/scenario.cpp uses tests/fleet/process (a child dies with its test: seen, a failed test left its router behind, which held the pipe of the shell that waited for it). fleet_test without_discovery: three upgrades on the list that is known, both processes reloaded while both run. Crowds: first events of what is written at once are told apart.

--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -50,7 +50,9 @@
       entries += (i > 0 ? "," : "") + entry(i, "Ready");
     }
     discovery.change(entries);
+    known = "{\"rev\":1,\"all\":true,\"targets\":[" + entries + "]}";
   }
+  std::string known;  // what a start without discovery goes on
   ~Platform() { std::filesystem::remove_all(folder); }
   std::string entry(int i, const std::string& state) const {
     return "{\"uid\":\"s-" + std::to_string(i) +
@@ -64,7 +66,8 @@
     const std::string config = folder + "/config" + std::to_string(++started_) + ".json";
     std::ofstream(config) << "{\"name\":\"n1\",\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:"
                           << (deaf ? 1 : discovery.port()) << "\",\"admin_addr\":\"127.0.0.1:0\",\"seed\":\""
-                          << started_ << "\",\"limits\":{\"memory_mb\":" << limits.memory_mb
+                          << started_ << "\"," << (deaf ? "" : "\"known\":" + known + ",")
+                          << "\"limits\":{\"memory_mb\":" << limits.memory_mb
                           << ",\"sockets\":" << limits.sockets << "},\"settings\":" << kSettings << "}";
     Start s{g_program, {}, {}, acceptor_.native_handle()};
     s.environment = {{"GW_CONFIG", config}, {"GW_ACCEPT_FD", "3"}, {"TMPDIR", folder + scratch}};
@@ -199,6 +202,27 @@
   Platform::gone(*c, 3700);
 }
 
+// Discovery is gone throughout, and the configuration is read again while two run.
+void without_discovery(int, std::uint64_t seed) {
+  Platform platform;
+  auto a = platform.serving();
+  Load load(platform.port(), {80, 0, 0, true, 200}, seed);
+  platform.discovery.down();
+  for (int i = 0; i < 3; ++i) {
+    auto b = platform.serving();
+    for (Process* p : {a.get(), b.get()}) {
+      p->signal(SIGHUP);
+      CHECK(within(3000, [&] { return p->log().find("event=reloaded") != std::string::npos; }));
+    }
+    a->signal(SIGTERM);
+    Platform::gone(*a, 3700);
+    a = std::move(b);
+  }
+  const Ends ends = load.finish();
+  print("without discovery", ends);
+  CHECK(ends.served == ends.asked() && ends.twice == 0);
+}
+
 // SIGTERM meets streams in their middle, bodies half read, and hundreds that say nothing.
 void middle(int, std::uint64_t seed) {
   Platform platform(3, 1);
@@ -240,7 +264,7 @@
   print("in a crowd", ends);
   std::printf("most descriptors %zu of 384, memory %ld MB of 40\n", most, memory / 1024);
   CHECK(static_cast<double>(ends.served) >= 0.99 * static_cast<double>(ends.asked()));
-  CHECK(most <= 384);
+  CHECK(most <= 384 && percentile(ends.first_ms, 0.99) < 1500.0);  // the queue alone was seconds before
 }
 
 // A descriptor that is no listening socket, and scratch folders that cannot be used.
@@ -282,11 +306,10 @@
   g_program = argv[1];
   const int n = argc > 3 ? std::atoi(argv[3]) : 0;
   const std::uint64_t seed = argc > 4 ? std::strtoull(argv[4], nullptr, 10) : 7;
-  const std::map<std::string, std::function<void(int, std::uint64_t)>> cases = {{"upgrades", upgrades},
-                                                                                {"troubles", troubles},
-                                                                                {"middle", middle},
-                                                                                {"crowd", crowd},
-                                                                                {"odd_starts", odd_starts}};
+  const std::map<std::string, std::function<void(int, std::uint64_t)>> cases = {
+      {"upgrades", upgrades}, {"troubles", troubles},
+      {"middle", middle},     {"without_discovery", without_discovery},
+      {"crowd", crowd},       {"odd_starts", odd_starts}};
   const auto it = cases.find(argv[2]);
   if (it == cases.end()) return 2;
   it->second(n, seed);
--- a/tests/fleet/load.cpp
+++ b/tests/fleet/load.cpp
@@ -116,7 +116,7 @@
     if (in_.size() < whole) return;
     if (in_.size() > whole) ++owner_.ends_.twice;
     const bool refused = in_.rfind("HTTP/1.1 503", 0) == 0 || in_.rfind("HTTP/1.1 429", 0) == 0;
-    if (served) owner_.ends_.first_ms.push_back(first_ms_);
+    if (served && piece_ >= out_.size()) owner_.ends_.first_ms.push_back(first_ms_);
     const bool keep = owner_.pace_.keep && !last;
     end(served ? &Ends::served : refused ? &Ends::refused : &Ends::failed, keep);
   }
--- a/tests/fleet/load.h
+++ b/tests/fleet/load.h
@@ -28,7 +28,7 @@
   std::uint64_t door = 0;        // its connection was refused or closed without a byte of an answer
   std::uint64_t lost = 0;        // no final answer in time, or a broken one
   std::uint64_t twice = 0;       // beside that: more came than one answer
-  std::vector<double> first_ms;  // to the first event, of those served, in the order in which they began
+  std::vector<double> first_ms;  // to the first event, of those served that were written in one piece
   std::uint64_t asked() const { return served + refused + failed + door + lost; }
 };
 
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -1,6 +1,5 @@
 #include "scenario.h"
 
-#include <fcntl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -17,6 +16,7 @@
 
 #include "certs.h"
 #include "dns_server.h"
+#include "fleet/process.h"
 #include "pcap/reader.h"
 #include "pcap/writer.h"
 #include "settings.h"
@@ -63,41 +63,18 @@
     configure(discovery);
     operator_file(membership);
     write_savefile(replayed);
-    int pipe[2];
-    if (::pipe2(pipe, O_CLOEXEC) != 0) wrong("no pipe");
-    pid_ = fork();
-    if (pid_ == 0) {
-      dup2(pipe[1], STDERR_FILENO);
-      setenv("GW_CONFIG", (folder_ + "/config.json").c_str(), 1);
-      setenv("GW_DISCOVERY", ("127.0.0.1:" + std::to_string(discovery)).c_str(), 1);
-      const std::string file = folder_ + "/operator.textproto";
-      if (replayed > 0) {
-        execl(path.c_str(), path.c_str(), "serve", "--replay", savefile().c_str(), "--record",
-              record().c_str(), nullptr);
-      }
-      if (kserve_ || !membership.empty()) {
-        execl(path.c_str(), path.c_str(), "serve", "--operator", file.c_str(), nullptr);
-      } else {
-        execl(path.c_str(), path.c_str(), nullptr);
-      }
-      _exit(127);
-    }
-    ::close(pipe[1]);
-    reader_ = std::thread([this, from = pipe[0]] {
-      char bytes[4096];
-      for (ssize_t n; (n = ::read(from, bytes, sizeof bytes)) > 0;) {
-        const std::lock_guard lock(mutex_);
-        log_.append(bytes, static_cast<std::size_t>(n));
-      }
-      ::close(from);
-    });
+    Start start{path, {}, {}, -1};
+    start.environment = {{"GW_CONFIG", folder_ + "/config.json"},
+                         {"GW_DISCOVERY", "127.0.0.1:" + std::to_string(discovery)}};
+    if (replayed > 0) {
+      start.arguments = {"serve", "--replay", savefile(), "--record", record()};
+    } else if (kserve_ || !membership.empty()) {
+      start.arguments = {"serve", "--operator", folder_ + "/operator.textproto"};
+    }
+    process_ = std::make_unique<Process>(start);
   }
   ~Program() {
-    if (pid_ > 0) {
-      kill(pid_, SIGKILL);
-      waitpid(pid_, nullptr, 0);
-    }
-    reader_.join();
+    process_.reset();
     for (const char* file : {"/config.json", "/operator.textproto", "/in.pcap", "/out.pcap"})
       ::unlink((folder_ + file).c_str());
     ::rmdir(folder_.c_str());
@@ -133,8 +110,7 @@
   // It is to end by itself, with status 1 and one line that has these words.
   void fails(const std::string& words) {
     int status = 0;
-    until("the exit", [&] { return waitpid(pid_, &status, WNOHANG) == pid_; });
-    pid_ = 0;
+    until("the exit", [&] { return process_->ended(status); });
     until("a line", [&] { return log().find('\n') != std::string::npos; });
     std::string all = log(), last;
     std::istringstream lines(all);
@@ -147,7 +123,7 @@
   }
   void reload(bool bad, const std::string& of_operator = "none") {
     if (bad && of_operator == "none") std::ofstream(folder_ + "/config.json") << "{\"settings\":";
-    kill(pid_, SIGHUP);
+    process_->signal(SIGHUP);
     const char* line = !bad                    ? "event=reloaded "
                        : of_operator == "none" ? "event=reload_refused why=\"config: "
                                                : "event=reload_refused ";
@@ -159,19 +135,11 @@
       return true;
     });
   }
-  std::string log() {
-    const std::lock_guard lock(mutex_);
-    return log_;
-  }
-  unsigned short port(const std::string& mark) {
-    const std::string all = log();
-    const std::size_t at = all.find(mark);
-    if (at == std::string::npos || all.find('\n', at) == std::string::npos) return 0;
-    return static_cast<unsigned short>(std::atoi(all.c_str() + at + mark.size()));
-  }
+  std::string log() { return process_->log(); }
+  unsigned short port(const std::string& mark) { return process_->port(mark); }
   long counter(const std::string& name) {
     const std::size_t before = log().size();
-    kill(pid_, SIGUSR1);
+    process_->signal(SIGUSR1);
     std::string all;
     until("the line of counters", [&] {
       all = log();
@@ -182,17 +150,16 @@
     if (at == std::string::npos) wrong("there is no counter " + name);
     return std::atol(all.c_str() + at + name.size() + 2);
   }
-  pid_t pid() const { return pid_; }
+  pid_t pid() const { return process_->pid(); }
   std::string savefile() const { return folder_ + "/in.pcap"; }
   std::string record() const { return folder_ + "/out.pcap"; }
   void stop() {
-    kill(pid_, SIGTERM);
+    process_->signal(SIGTERM);
     wait_for_exit();
   }
   void wait_for_exit() {
     int status = 0;
-    until("the exit", [&] { return waitpid(pid_, &status, WNOHANG) == pid_; });
-    pid_ = 0;
+    until("the exit", [&] { return process_->ended(status); });
     if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) wrong("exit status " + std::to_string(status));
   }
 
@@ -212,11 +179,9 @@
     }
   }
   bool kserve_, admin_;
-  std::string more_, path_, folder_, log_, sockets_;
+  std::string more_, path_, folder_, sockets_;
   std::size_t seen_ = 0;  // of the log, by reload
-  std::mutex mutex_;
-  pid_t pid_ = 0;
-  std::thread reader_;
+  std::unique_ptr<Process> process_;
 };
 
 class Run {
