--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -186,18 +186,22 @@
   }
   CHECK(a->log().find("event=state_not_left") != std::string::npos);
   std::filesystem::remove_all(state);
+  pause(100);
+  CHECK(http_status(a->port("wire=admin at=127.0.0.1:"), "/_ready") == 200);
+  const Ends before = load.finish();
+  print("beside ones that fail in their start", before);
+  CHECK(before.served == before.asked() && before.twice == 0);
   {  // without discovery and without a list of its own, but with what the old one leaves
+    Load there_and_back(platform.port(), {80, 0, 0, false, 200}, seed + 2);
     auto b = platform.start(true);
     CHECK(within(6000, [&] { return Platform::ready(*b); }));
     CHECK(b->log().find("event=state_taken") != std::string::npos);
     b->signal(SIGTERM);
     Platform::gone(*b, 3700);
+    const Ends ends = there_and_back.finish();
+    print("there and back", ends);
+    CHECK(ends.lost + ends.failed + ends.twice == 0 && ends.door + ends.refused <= 2);
   }
-  pause(100);
-  CHECK(http_status(a->port("wire=admin at=127.0.0.1:"), "/_ready") == 200);
-  const Ends before = load.finish();
-  print("beside ones that fail in their start", before);
-  CHECK(before.served == before.asked() && before.twice == 0);
   // Killed after its yes: what it had taken dies with it, and nothing else does.
   Load second(platform.port(), {80, 0, 0, false, 200}, seed + 1);
   auto b = platform.serving();
