--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -1,6 +1,4 @@
 // The real router: wires the packages together and runs the loop. It decides nothing.
-#include <unistd.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
--- a/src/handover/seats.cpp
+++ b/src/handover/seats.cpp
@@ -62,7 +62,7 @@
   const std::string path = folder + "/flintglade.seats";
   file_ = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
   if (file_ < 0) return failed(path);
-  const std::string why = take_seat(path, router);
+  const std::string why = take_seat(folder, path, router);
   if (!why.empty()) leave();
   return why;
 }
@@ -73,7 +73,7 @@
   if (file_ >= 0) ::close(std::exchange(file_, -1));
 }
 
-std::string Seats::take_seat(const std::string& path, const std::string& router) {
+std::string Seats::take_seat(const std::string& folder, const std::string& path, const std::string& router) {
   // One at a time looks at the form and takes a seat; nobody holds this lock for longer than that.
   struct flock door = lock_of(kDoor, F_WRLCK);
   for (int i = 0; ::fcntl(file_, F_OFD_SETLK, &door) != 0; ++i) {
@@ -112,8 +112,10 @@
   page_->seats[mine_].joined = last + 1;
   page_->seats[mine_].taken = 1;
   notify_ = ::inotify_init1(IN_NONBLOCK | IN_CLOEXEC);
-  if (notify_ >= 0) ::inotify_add_watch(notify_, path.c_str(), IN_OPEN | IN_CLOSE_WRITE);
-  if (notify_ >= 0) ::inotify_add_watch(notify_, path.substr(0, path.rfind('/')).c_str(), IN_MOVED_TO);
+  if (notify_ >= 0) {
+    ::inotify_add_watch(notify_, path.c_str(), IN_OPEN | IN_CLOSE_WRITE);
+    ::inotify_add_watch(notify_, folder.c_str(), IN_MOVED_TO);
+  }
   door.l_type = F_UNLCK;
   ::fcntl(file_, F_OFD_SETLK, &door);
   // The others saw the file being opened when the seat was not taken yet.
--- a/src/handover/seats.h
+++ b/src/handover/seats.h
@@ -43,7 +43,7 @@
   struct Page;
   bool held(std::size_t seat) const;
   void leave();
-  std::string take_seat(const std::string& path, const std::string& router);
+  std::string take_seat(const std::string& folder, const std::string& path, const std::string& router);
 
   int file_ = -1, notify_ = -1;
   int mine_ = -1;
--- a/src/handover/state.cpp
+++ b/src/handover/state.cpp
@@ -31,8 +31,7 @@
   return x;
 }
 
-// One place says which field is which, for both ways: Io is Out or In, and each(field, value) writes or reads
-// it.
+// One place says which field is which, for both ways: io is an Out or an In, and its field() writes or reads.
 struct Out {
   template <typename Message, typename Get, typename Set, typename T>
   void field(Message& m, Get, Set set, T& value) const {
