Fleet test: a client's late word of its first write no longer cuts the request it asks anew

Cause: tests/fleet/load.cpp, Request::closed(): where a kept connection is closed just as the next request is written, the end of the read and the word of the write can wait in one queue, in this order. The request was asked anew, and then the old write's word moved written_ of the new one: it was sent empty (closed on as silent: 'door') or from its middle (400: 'failed'). Ruled out: the router (it never saw the request: the sum of rpcs was short by one). Each write now knows which writing it belongs to.

--- a/tests/fleet/load.cpp
+++ b/tests/fleet/load.cpp
@@ -35,6 +35,7 @@
     first_ms_ = -1.0;
     written_ = 0;
     busy_ = true;
+    ++turn_;
     piece_ = slow ? out_.size() / kPieces + 1 : out_.size();
     timer_.expires_after(kPatience + std::chrono::seconds(1));
     timer_.async_wait([self = shared_from_this()](error_code ec) {
@@ -62,14 +63,15 @@
     const std::size_t n = std::min(piece_, out_.size() - written_);
     asio::async_write(
         socket_, asio::buffer(out_.data() + written_, n),
-        [self = shared_from_this()](error_code ec, std::size_t sent) {
-          if (ec || !self->busy_) return;  // the read sees the end
+        [self = shared_from_this(), turn = turn_](error_code ec, std::size_t sent) {
+          // The read sees the end; it may have done so, and asked anew, before this word of the first write.
+          if (ec || !self->busy_ || turn != self->turn_) return;
           self->written_ += sent;
           if (self->written_ == self->out_.size()) return;
           self->pause_.emplace(self->owner_.io_);
           self->pause_->expires_after(std::chrono::milliseconds(self->owner_.pace_.slow_ms / (kPieces - 1)));
-          self->pause_->async_wait([self](error_code stopped) {
-            if (!stopped && self->busy_) self->write();
+          self->pause_->async_wait([self, turn](error_code stopped) {
+            if (!stopped && self->busy_ && turn == self->turn_) self->write();
           });
         });
   }
@@ -149,6 +151,7 @@
   std::string out_, in_;
   std::array<char, 4096> bytes_{};
   std::size_t written_ = 0, piece_ = 0;
+  std::uint64_t turn_ = 0;  // which writing of a request this is
   Clock::time_point began_;
   double first_ms_ = -1.0;
   bool busy_ = false, fresh_ = false;
