--- a/src/commands/commands.h
+++ b/src/commands/commands.h
@@ -1,6 +1,7 @@
 // One file a sub-command. Each gives the exit status of the process.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,19 @@
 };
 int conformance(const ConformanceOptions& options);
 int check(const std::string& operator_file);
+// Of a fleet (docs/fleet.md). at: where any of its routers listens.
+struct FleetOptions {
+  std::string at, job, router, file;
+  std::string add;           // ID=ADDRESS:PORT
+  std::uint64_t remove = 0;  // a voter's id
+  bool json = false, join = false;
+};
+int fleet_status(const FleetOptions& options);
+int fleet_jobs(const FleetOptions& options);
+int fleet_voters(const FleetOptions& options);
+int fleet_move(const FleetOptions& options);
+int fleet_init(const FleetOptions& options);
+int fleet_audit(const std::vector<std::string>& logs);
 int resolve(const std::string& operator_file, double wait_s);
 
 // One plain line on standard error, whatever the log's format; the exit status of a start that failed.
--- /dev/null
+++ b/src/commands/fellow.h
@@ -0,0 +1,45 @@
+// This router's part in its fleet: wires the member's thread, its jobs and the core together. Who does what
+// is decided by fleet::Agent and fleet::SharedList.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "config/config.h"
+#include "discovery/watch.h"
+#include "fleet/member.h"
+#include "fleet/shared_list.h"
+#include "operator.pb.h"
+
+namespace flintglade::commands {
+
+class Fellow {
+ public:
+  // watch is borrowed. Nothing is sent before start().
+  Fellow(boost::asio::io_context& io, core::Clock& clock, discovery::Watch& watch, const deploy::Fleet& file,
+         const config::Config& config);
+
+  // What the core asks for its list: the watch, or what one router of the site reads for all.
+  core::ReplicaList& list();
+  void start();
+  void moved(const config::HostPort& discovery);
+  // Gives up this router's jobs and says good-bye. It takes half a second at the most, on the member's
+  // thread; the core goes on meanwhile.
+  void leave();
+
+ private:
+  void take(const fleet::Agent::Word& word);
+  void arm();
+
+  boost::asio::io_context& io_;
+  core::Clock& clock_;
+  discovery::Watch& watch_;
+  const std::string job_, site_;
+  std::optional<fleet::SharedList> shared_;
+  boost::asio::steady_timer alarm_;
+  fleet::Member member_;  // last: its thread ends before what it posts to
+};
+
+}  // namespace flintglade::commands
--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -15,6 +15,7 @@
 #include "admin/server.h"
 #include "commands/clock.h"
 #include "commands/commands.h"
+#include "commands/fellow.h"
 #include "commands/succession.h"
 #include "config/config.h"
 #include "config/labels.h"
@@ -42,7 +43,7 @@
 
 // Descriptors outside the HTTP pools: the standard streams, the loop's own, listener and discovery, and some
 // spare; and what gRPC is likely to want beside its clients' connections.
-constexpr std::size_t kSpareDescriptors = 32, kGrpcDescriptors = 64;
+constexpr std::size_t kSpareDescriptors = 32, kGrpcDescriptors = 64, kFleetDescriptors = 8;
 // The rest is shared by both sides: replicas may always have this part of it, and clients what replicas
 // leave, with some room for calls to come. Clients by the hundreds that say nothing would fill a fixed half.
 constexpr double kReplicaPart = 0.28;
@@ -161,7 +162,7 @@
           (file.has_kserve() ? kGrpcDescriptors + 2 * kserve::front_settings(file.kserve()).limits.connections
                              : 0) +
           membership::resolver_settings(file.membership().resolver()).outstanding * file.has_membership() +
-          admin::Server::kDescriptors * !config.admin.host.empty());
+          admin::Server::kDescriptors * !config.admin.host.empty() + kFleetDescriptors * file.has_fleet());
   http::HttpFront* front = nullptr;
   const http::HttpSubchannels* replicas = nullptr;
   const core::Broker* core = nullptr;
@@ -205,7 +206,11 @@
   std::unique_ptr<membership::Sources> sources;
   if (file.has_membership())
     sources = std::make_unique<membership::Sources>(io, clock, watch, file.membership(), specs);
-  core::ReplicaList& list = sources ? static_cast<core::ReplicaList&>(*sources) : watch;
+  std::optional<Fellow> fellow;
+  if (file.has_fleet()) fellow.emplace(io, clock, watch, file.fleet(), config);
+  core::ReplicaList& list = sources  ? static_cast<core::ReplicaList&>(*sources)
+                            : fellow ? fellow->list()
+                                     : watch;
   core::Broker broker(settings, config.module, config.seed, clock, list);
   core = &broker;
   if (log::enabled(Level::debug)) broker.trace(write_trace);
@@ -384,6 +389,7 @@
     if (sources && fresh_file.has_membership())
       sources->reload(fresh_file.membership(), std::move(fresh_specs));
     watch.move(fresh.discovery);
+    if (fellow) fellow->moved(fresh.discovery);
     if (succession) succession->discovery(fresh.discovery);
     const bool all = fresh.fixed == config.fixed &&
                      operator_file::fixed_part(fresh_file) == operator_file::fixed_part(file);
@@ -405,6 +411,7 @@
   };
   tell_unready(kFirstUnready);
   if (succession) succession->start();
+  if (fellow) fellow->start();
   std::function<void(boost::system::error_code, int)> on_signal = [&](boost::system::error_code ec,
                                                                       int signal) {
     if (ec) return;
@@ -414,6 +421,7 @@
       reload();
     } else {
       log::event(Level::info, "draining", {{"open", broker.open_rpcs()}});
+      if (fellow) fellow->leave();
       const bool followed = succession && succession->hand_over();
       broker.drain(followed);
       if (config.accept_fd >= 0 && (!succession || followed)) http_front.stop_accepting();
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -85,7 +85,12 @@
       lines_ += std::exchange(parser_.get().body(), {});
       std::size_t from = 0;
       for (std::size_t end; (end = lines_.find('\n', from)) != std::string::npos; from = end + 1) {
-        if (!line(std::string_view(lines_).substr(from, end - from))) return fail("a line that is no list");
+        const std::string_view text = std::string_view(lines_).substr(from, end - from);
+        const std::uint32_t before = owner_->version();
+        if (!owner_->take_line(text)) return fail("a line that is no list");
+        if (owner_ == nullptr) return;
+        if (owner_->on_line_ && owner_->version() != before)
+          owner_->on_line_(owner_->last_was_whole_ ? 0 : before, owner_->version(), text);
         if (owner_ == nullptr) return;
       }
       lines_.erase(0, from);
@@ -96,25 +101,6 @@
     read();
   }
 
-  bool line(std::string_view text) {
-    if (text.find_first_not_of(" \r\t") == std::string_view::npos) return true;
-    core::ListNews news;
-    if (!parse_list(text, owner_->names_, news)) return false;
-    if (news.kind == pipitcleat::ListKind::delta && owner_->have_list_ && news.version < owner_->version_) {
-      // Late or repeated: what it tells has been overtaken by what is held.
-      log::event(log::Level::warn, "list_out_of_order", {{"rev", news.version}, {"held", owner_->version_}});
-      return true;
-    }
-    if (!news.unreadable.empty())
-      log::event(log::Level::warn, "list_entries_unreadable",
-                 {{"entries", news.unreadable.size()}, {"in_force", "what was held of them"}});
-    owner_->version_ = news.version;
-    owner_->have_list_ = true;
-    owner_->last_error_.clear();
-    owner_->tell_(std::move(news));
-    return true;
-  }
-
   void fail(std::string why) {
     if (owner_ == nullptr) return;
     log::event(log::Level::warn, "list_failed",
@@ -135,6 +121,26 @@
   std::string lines_;
 };
 
+bool Watch::take_line(std::string_view text) {
+  if (text.find_first_not_of(" \r\t") == std::string_view::npos) return true;
+  core::ListNews news;
+  if (!parse_list(text, names_, news)) return false;
+  if (news.kind == pipitcleat::ListKind::delta && have_list_ && news.version < version_) {
+    // Late or repeated: what it tells has been overtaken by what is held.
+    log::event(log::Level::warn, "list_out_of_order", {{"rev", news.version}, {"held", version_}});
+    return true;
+  }
+  if (!news.unreadable.empty())
+    log::event(log::Level::warn, "list_entries_unreadable",
+               {{"entries", news.unreadable.size()}, {"in_force", "what was held of them"}});
+  version_ = news.version;
+  last_was_whole_ = news.kind != pipitcleat::ListKind::delta;
+  have_list_ = true;
+  last_error_.clear();
+  tell_(std::move(news));
+  return true;
+}
+
 Watch::Watch(asio::io_context& io, config::HostPort at, Names names)
     : io_(io), at_(std::move(at)), names_(std::move(names)) {}
 Watch::~Watch() { observe(false); }
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -24,17 +24,26 @@
   // whether or not the module waits to ask again; the list held stays in force until the answer.
   void move(config::HostPort to);
   const config::HostPort& at() const { return at_; }
+  // Each line that is read and told, as discovery wrote it. after: the version held before; 0: it is whole.
+  using OnLine = std::function<void(std::uint32_t after, std::uint32_t rev, std::string_view text)>;
+  void on_line(OnLine on_line) { on_line_ = std::move(on_line); }
+  // A line that somebody else has read, as if it had come here. False: it is no list.
+  bool feed(std::string_view text) { return take_line(text); }
+  std::uint32_t version() const { return have_list_ ? version_ : 0; }
   std::string status() const;  // how the last ask went, in a few words
 
  private:
   class Session;
+  bool take_line(std::string_view text);
   boost::asio::io_context& io_;
   config::HostPort at_;
   Names names_;
   Tell tell_;
+  OnLine on_line_;
   std::uint32_t version_ = 0;
   bool have_list_ = false;
-  bool wanted_ = false;  // somebody has asked for the list
+  bool last_was_whole_ = false;  // the last line, rather than a change
+  bool wanted_ = false;          // somebody has asked for the list
   std::string last_error_ = "not asked yet";
   std::shared_ptr<Session> session_;
 };
--- /dev/null
+++ b/src/fleet/agent.cpp
@@ -0,0 +1,484 @@
+#include "fleet/agent.h"
+
+#include <algorithm>
+
+namespace flintglade::fleet {
+namespace {
+
+constexpr std::size_t kMostAsked = 256, kMostWords = 4096;
+constexpr Micros kForgetAsked = 5 * core::kSecond;
+constexpr Micros kLeaderless =
+    3 * core::kSecond;  // nobody has named a leader for so long: the fleet's jobs rest
+constexpr Micros kMostLeaving = 500 * core::kMilli;
+
+}  // namespace
+
+Agent::Agent(AgentSettings settings, std::uint64_t seed)
+    : set_(std::move(settings)),
+      random_(seed),
+      swim_(set_.peers, set_.self, seed),
+      registrar_(set_.lease, set_.wanted),
+      tenure_(set_.lease, set_.self.name) {
+  for (const VoterAt& v : set_.voters) {
+    Voter voter;
+    voter.set_id(v.id);
+    voter.set_at(v.at);
+    voter.set_votes(true);
+    voters_.push_back(voter);
+  }
+}
+
+std::string Agent::vote(Memory memory, Storage& storage) {
+  node_ = std::make_unique<Node>(
+      set_.self.at, std::move(memory), storage, set_.node, random_(),
+      [this](const std::string& at, const Raft& message) {
+        Packet p = packet();
+        *p.mutable_raft() = message;
+        send(at, p);
+      },
+      [this](const Command& command, const Applied& applied) {
+        for (const Held& h : applied.renewed) registrar_.renewed(now_, command.renew().owner(), h);
+        if (command.has_grant() && applied.changed) {
+          registrar_.granted(now_, applied.job);
+          event("job_granted", {{"job", applied.job},
+                                {"number", std::to_string(node_->jobs().table().last_number())},
+                                {"to", command.grant().owner()}});
+        }
+        if (!applied.changed || !node_->leads()) return;
+        const Job* job = node_->jobs().find(applied.job);
+        if (job == nullptr) return;
+        push(job->owner());
+        if (!job->wanted().empty()) push(job->wanted());
+      });
+  return node_->start(0);
+}
+
+void Agent::event(std::string name, std::vector<std::pair<std::string, std::string>> fields, bool warning) {
+  events_.push_back({std::move(name), std::move(fields), warning});
+}
+
+void Agent::start(Micros now) {
+  now_ = now;
+  swim_.start(now);
+  next_read_ = now + std::uniform_int_distribution<Micros>(0, set_.read_every)(random_);
+  if (node_) node_->tick(now);
+  settle(now);
+}
+
+Micros Agent::next() const {
+  Micros at = std::min(swim_.next(), tenure_.next());
+  if (node_) at = std::min({at, node_->next(), registrar_.next()});
+  if (!node_ || node_->role() == "halted") at = std::min(at, next_read_);
+  return at;
+}
+
+void Agent::tick(Micros now) {
+  now_ = now;
+  swim_.tick(now);
+  if (node_ && now >= node_->next()) node_->tick(now);
+  settle(now);
+}
+
+// What follows from the new state of all parts, in one order.
+void Agent::settle(Micros now) {
+  for (const peers::Peer& p : swim_.changed()) {
+    static constexpr const char* kNames[] = {"peer_alive", "peer_suspect", "peer_dead", "peer_left"};
+    event(kNames[p.standing],
+          {{"peer", p.name}, {"at", p.at}, {"site", p.site}, {"incarnation", std::to_string(p.incarnation)}});
+  }
+  if (swim_.displaced() && !displaced_) {
+    displaced_ = true;
+    event("displaced", {{"name", set_.self.name}, {"by", "a process of this name that began later"}}, true);
+    tenure_.record({}, 0);
+  }
+  if (node_ && node_->role() == "halted" && !halted_told_) {
+    halted_told_ = true;
+    event("voter_halted", {{"why", node_->why_halted()}, {"votes", "no more, until the next start"}}, true);
+  }
+  const bool leads = node_ && node_->leads();
+  if (leads != led_) {
+    led_ = leads;
+    event(leads ? "leads" : "leads_no_more", {{"term", std::to_string(node_->term())}});
+    if (leads) {
+      registrar_.leads(now);
+      // What the terms before have left is committed by a first entry of this one.
+      Command c;
+      c.mutable_renew();
+      node_->propose(now, c, [](bool, const std::string&, const Applied&) {});
+    } else {
+      registrar_.follows();
+    }
+  }
+  if (leads) {
+    for (const Command& c : registrar_.decide(now, node_->jobs(), swim_.living()))
+      node_->propose(now, c, [](bool, const std::string&, const Applied&) {});
+  }
+  if (node_ && node_->role() != "halted") {
+    heard_voter_ = now;
+    leader_at_ = node_->leader_at();
+    voters_ = node_->voters().empty() ? voters_ : node_->voters();
+  }
+  if (!leader_at_.empty()) {
+    leader_since_ = now;
+    if (!had_leader_) event("fleet_led", {{"by", leader_at_}});
+    had_leader_ = true;
+  } else if (had_leader_ && now - leader_since_ > kLeaderless) {
+    had_leader_ = false;
+    event("fleet_unled", {{"jobs", "rest"}, {"routers", "each do for themselves"}}, true);
+  }
+  if (displaced_) return;
+  if ((!node_ || node_->role() == "halted") && now >= next_read_ && !voters_.empty() && leaving_ < 0) {
+    next_read_ =
+        now + set_.read_every / 2 + std::uniform_int_distribution<Micros>(0, set_.read_every)(random_);
+    // The leader's word is kept for as long as it answers.
+    if (heard_voter_ >= 0 && now - heard_voter_ > 3 * set_.read_every) leader_at_.clear();
+    Packet p = packet();
+    p.mutable_read()->set_revision(table_.revision());
+    send(voter_at(now), p);
+  }
+  tenure_.record(table(), swim_.self().birth);
+  for (const Release& r : tenure_.releases(now)) {
+    Command c;
+    *c.mutable_release() = r;
+    ask(now, c, "release", r.job());
+  }
+  if (const auto renew = tenure_.renewal(now)) {
+    Command c;
+    *c.mutable_renew() = *renew;
+    ask(now, c, "renew", "");
+  }
+  for (const Tenure::Change& c : tenure_.changes(now)) {
+    event(c.starts ? "job_starts" : "job_stops",
+          c.starts ? std::vector<std::pair<std::string, std::string>>{{"job", c.job},
+                                                                      {"number", std::to_string(c.number)}}
+                   : std::vector<std::pair<std::string, std::string>>{
+                         {"job", c.job}, {"number", std::to_string(c.number)}, {"why", c.why}});
+    words_.push_back({c.starts ? Word::What::starts : Word::What::stops, c.job, c.number, {}, "", 0});
+  }
+  std::erase_if(asked_, [now](const auto& a) { return now - a.second.sent > kForgetAsked; });
+}
+
+// ---- requests to the voters
+
+// The leader, if one is known; else the voters by turns.
+std::string Agent::voter_at(Micros) {
+  if (!leader_at_.empty() && leader_at_ != set_.self.at) return leader_at_;
+  for (std::size_t i = 0; i < voters_.size(); ++i) {
+    const Voter& v = voters_[voter_turn_++ % voters_.size()];
+    if (v.at() != set_.self.at) return v.at();
+  }
+  return "";
+}
+
+void Agent::ask(Micros now, const Command& command, const std::string& what, const std::string& job) {
+  if (node_ && node_->leads()) {
+    goes_in(now, command);
+    node_->propose(now, command, [this, sent = now, what](bool done, const std::string&, const Applied& a) {
+      if (done && what == "renew") renewed(now_, sent, a.renewed);
+    });
+    return;
+  }
+  const std::string at = voter_at(now);
+  if (at.empty() || asked_.size() >= kMostAsked) return;
+  Packet p = packet();
+  p.mutable_request()->set_number(++numbers_);
+  *p.mutable_request()->mutable_command() = command;
+  asked_[numbers_] = {now, what, job};
+  // One that does not answer is not asked for ever.
+  for (const auto& [number, a] : asked_) {
+    if (number != numbers_ && now - a.sent > set_.ask_again && now - a.sent < 4 * set_.ask_again && !node_)
+      leader_at_.clear();
+  }
+  send(at, p);
+}
+
+void Agent::renewed(Micros, Micros sent, const std::vector<Held>& held) { tenure_.renewed(sent, held); }
+
+void Agent::answered(Micros now, const Reply& reply) {
+  const auto it = asked_.find(reply.number());
+  if (it == asked_.end()) return;
+  const Asked asked = it->second;
+  if (!reply.done()) {
+    asked_.erase(it);
+    if (!node_) leader_at_ = reply.leader_at();
+    return;
+  }
+  asked_.erase(it);
+  heard_voter_ = now;
+  if (asked.what == "renew")
+    renewed(now, asked.sent, std::vector<Held>(reply.held().begin(), reply.held().end()));
+}
+
+void Agent::answer(Micros now, const std::string& to, const Request& request) {
+  const auto reply = [this, to, number = request.number()](bool done, const std::string& why,
+                                                           const Applied& applied) {
+    Packet p = packet();
+    Reply& r = *p.mutable_reply();
+    r.set_number(number);
+    r.set_done(done);
+    r.set_why(why);
+    if (!done) r.set_leader_at(leader_at_);
+    for (const Held& h : applied.renewed) *r.add_held() = h;
+    send(to, p);
+  };
+  if (!node_ || !node_->leads()) {
+    if (leader_at_ == set_.self.at) leader_at_.clear();
+    return reply(false, "not the leader", {});
+  }
+  if (request.has_voter_change()) return node_->change(now, request.voter_change(), reply);
+  // Only the leader grants.
+  if (!request.has_command() || request.command().has_grant())
+    return reply(false, "not for routers to ask", {});
+  if (request.command().has_move()) {
+    const Job* job = node_->jobs().find(request.command().move().job());
+    if (job == nullptr) return reply(false, "no such job", {});
+    const auto living = swim_.living();
+    const bool there = std::any_of(living.begin(), living.end(), [&](const peers::Peer& p) {
+      return p.name == request.command().move().to() && p.standing == fleet::ALIVE;
+    });
+    if (!there) return reply(false, "no such router is alive", {});
+    if (job->owner() == request.command().move().to()) return reply(true, "", {});
+  }
+  goes_in(now, request.command());
+  node_->propose(now, request.command(), reply);
+}
+
+// What goes into the log counts already for what is decided next.
+void Agent::goes_in(Micros now, const Command& command) {
+  for (const Held& h : node_->jobs().still(command.renew()))
+    registrar_.renewed(now, command.renew().owner(), h);
+}
+
+// ---- the record
+
+Record Agent::record(std::uint64_t known) const {
+  Record r;
+  r.set_revision(table().revision());
+  if (table().revision() > known) *r.mutable_table() = table();
+  for (const Voter& v : voters_) *r.add_voters() = v;
+  r.set_leader_at(leader_at_);
+  return r;
+}
+
+void Agent::push(const std::string& router) {
+  if (router == set_.self.name) return;
+  const auto it = swim_.others().find(router);
+  if (it == swim_.others().end()) return;
+  Packet p = packet(router);
+  *p.mutable_record() = record(0);
+  send(it->second.at, p);
+}
+
+void Agent::take_record(Micros now, const Record& r) {
+  if (node_ && node_->role() != "halted") return;  // a voter has its own
+  heard_voter_ = now;
+  leader_at_ = r.leader_at();
+  if (r.voters_size() > 0) voters_.assign(r.voters().begin(), r.voters().end());
+  if (r.has_table() && r.revision() > table_.revision()) table_ = r.table();
+}
+
+// ---- datagrams
+
+Packet Agent::packet(const std::string& to) const {
+  Packet p;
+  p.set_fleet(set_.peers.fleet);
+  p.set_version(peers::kVersion);
+  p.set_from(set_.self.name);
+  p.set_birth(swim_.self().birth);
+  p.set_to(to);
+  return p;
+}
+
+void Agent::send(const std::string& at, const Packet& p) {
+  if (!at.empty()) out_.push_back({at, p.SerializeAsString()});
+}
+
+std::vector<peers::Datagram> Agent::take() {
+  std::vector<peers::Datagram> out = swim_.take();
+  if (out.empty()) return std::exchange(out_, {});
+  std::move(out_.begin(), out_.end(), std::back_inserter(out));
+  out_.clear();
+  return out;
+}
+
+void Agent::receive(Micros now, const std::string& from, std::string_view bytes) {
+  now_ = now;
+  Packet p;
+  const bool ours = p.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) &&
+                    (p.fleet() == set_.peers.fleet || (p.has_query() && p.fleet().empty())) &&
+                    (p.to().empty() || p.to() == set_.self.name);
+  if (ours && p.has_query()) {
+    Packet answer = packet();
+    *answer.mutable_status() = status(now);
+    return send(from, answer);
+  }
+  if (!ours || p.what_case() < Packet::kRaft) {
+    swim_.receive(now, from, bytes);
+    return settle(now);
+  }
+  if (displaced_) return;
+  switch (p.what_case()) {
+    case Packet::kRaft:
+      if (node_) node_->receive(now, p.raft());
+      break;
+    case Packet::kRequest:
+      answer(now, from, p.request());
+      break;
+    case Packet::kReply:
+      answered(now, p.reply());
+      break;
+    case Packet::kRead: {
+      if (!node_ || node_->role() == "halted") break;
+      Packet back = packet(p.from());
+      *back.mutable_record() = record(p.read().revision());
+      send(from, back);
+      break;
+    }
+    case Packet::kRecord:
+      take_record(now, p.record());
+      break;
+    case Packet::kEffect: {
+      const Effect& e = p.effect();
+      const std::uint64_t seen = fence_.seen(e.job());
+      if (!fence_.admit(e.job(), e.number())) {
+        event("effect_refused",
+              {{"job", e.job()},
+               {"number", std::to_string(e.number())},
+               {"seen", std::to_string(seen)},
+               {"from", p.from()}},
+              true);
+        break;
+      }
+      if (seen != e.number())
+        event("effect_of", {{"job", e.job()}, {"number", std::to_string(e.number())}, {"from", p.from()}});
+      ++effects_taken_;
+      if (words_.size() < kMostWords)
+        words_.push_back({Word::What::effect, e.job(), e.number(), e, from, e.rev()});
+      break;
+    }
+    case Packet::kWant:
+      if (words_.size() < kMostWords)
+        words_.push_back({Word::What::want, p.want().job(), 0, {}, from, p.want().rev()});
+      break;
+    default:
+      break;
+  }
+  settle(now);
+}
+
+bool Agent::effect(Micros now, Effect effect, const std::string& site, const std::string& to) {
+  if (!tenure_.proved(now, effect.job())) {
+    ++effects_unproved_;
+    return false;
+  }
+  for (const Held& h : tenure_.held(now)) {
+    if (h.job() == effect.job()) effect.set_number(h.number());
+  }
+  effect.set_sequence(++sequence_);
+  fence_.admit(effect.job(), effect.number());
+  ++effects_sent_;
+  if (!to.empty()) {
+    Packet p = packet();
+    *p.mutable_effect() = effect;
+    send(to, p);
+    return true;
+  }
+  for (const auto& [name, peer] : swim_.others()) {
+    if (peer.standing == fleet::DEAD || peer.standing == fleet::LEFT) continue;
+    if (!site.empty() && peer.site != site) continue;
+    Packet p = packet(name);
+    *p.mutable_effect() = effect;
+    send(peer.at, p);
+  }
+  return true;
+}
+
+void Agent::want(Micros, const std::string& job, std::uint32_t rev) {
+  for (const Job& j : table().jobs()) {
+    if (j.name() != job || j.owner().empty()) continue;
+    const auto it = swim_.others().find(j.owner());
+    if (it == swim_.others().end()) return;
+    Packet p = packet(j.owner());
+    p.mutable_want()->set_job(job);
+    p.mutable_want()->set_rev(rev);
+    return send(it->second.at, p);
+  }
+}
+
+// ---- the end, and what is told
+
+void Agent::leave(Micros now) {
+  if (leaving_ >= 0) return;
+  now_ = now;
+  leaving_ = now;
+  tenure_.give_up_all();
+  settle(now);
+  swim_.leave(now);
+}
+
+bool Agent::left(Micros now) const {
+  if (leaving_ < 0) return false;
+  if (now - leaving_ > kMostLeaving) return true;
+  for (const Job& j : table().jobs()) {
+    if (j.owner() == set_.self.name && j.birth() == swim_.self().birth) return false;
+  }
+  return true;
+}
+
+Status Agent::status(Micros now) const {
+  Status s;
+  s.set_name(set_.self.name);
+  s.set_site(set_.self.site);
+  s.set_birth(swim_.self().birth);
+  s.set_leader_at(leader_at_);
+  s.set_displaced(displaced_);
+  s.set_clock_us(now);
+  if (node_) {
+    s.set_role(node_->role());
+    s.set_why_halted(node_->why_halted());
+    s.set_term(node_->term());
+    s.set_index(node_->applied());
+    s.set_last_index(node_->last_index());
+  }
+  *s.mutable_table() = table();
+  for (const Voter& v : voters_) *s.add_voters() = v;
+  for (const Held& h : tenure_.held(now)) *s.add_held() = h;
+  const auto add = [&s](const peers::Peer& p) {
+    peers::Peer copy = p;
+    fleet::Word& w = *s.add_routers();
+    w.set_name(copy.name);
+    w.set_site(copy.site);
+    w.set_at(copy.at);
+    w.set_birth(copy.birth);
+    w.set_incarnation(copy.incarnation);
+    w.set_standing(copy.standing);
+    w.set_version(copy.version);
+  };
+  add(swim_.self());
+  for (const auto& [name, p] : swim_.others()) add(p);
+  s.set_health(swim_.health());
+  s.set_record_age_ms(heard_voter_ < 0 ? UINT64_MAX
+                                       : static_cast<std::uint64_t>((now - heard_voter_) / 1000));
+  const peers::Counters& c = swim_.counters();
+  auto& counters = *s.mutable_counters();
+  counters["peers_sent"] = c.sent;
+  counters["peers_received"] = c.received;
+  counters["peers_bytes_sent"] = c.bytes_sent;
+  counters["peers_other_fleet"] = c.other_fleet;
+  counters["peers_unreadable"] = c.unreadable;
+  counters["peers_not_for_us"] = c.not_for_us;
+  counters["peers_absurd"] = c.absurd;
+  counters["peers_too_many"] = c.too_many;
+  counters["peers_probes"] = c.probes;
+  counters["peers_probes_failed"] = c.probes_failed;
+  counters["peers_suspected"] = c.suspected;
+  counters["peers_refuted"] = c.refuted;
+  counters["peers_late_ticks"] = c.late_ticks;
+  counters["effects_sent"] = effects_sent_;
+  counters["effects_taken"] = effects_taken_;
+  counters["effects_refused"] = fence_.refused();
+  counters["effects_unproved"] = effects_unproved_;
+  return s;
+}
+
+}  // namespace flintglade::fleet
--- /dev/null
+++ b/src/fleet/agent.h
@@ -0,0 +1,131 @@
+// A router's part in its fleet: who is there (peers::Swim), the voter if it is one (Node), what the leader
+// decides (Registrar), its own jobs (Tenure) and what it takes from other owners (Fence), and the datagrams
+// between them. Pure: time and datagrams are handed in, what is to be sent is taken out. One clock for all
+// times, which also runs while the machine sleeps.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fleet/fence.h"
+#include "fleet/node.h"
+#include "fleet/registrar.h"
+#include "fleet/tenure.h"
+#include "peers/swim.h"
+
+namespace flintglade::fleet {
+
+struct VoterAt {
+  std::string router;
+  std::uint64_t id = 0;
+  std::string at;
+};
+
+struct AgentSettings {
+  peers::Settings peers;
+  peers::Self self;
+  LeaseTimes lease;
+  NodeTimes node;
+  std::vector<VoterAt> voters;  // by the file; the record may have changed them since
+  std::vector<Wanted> wanted;
+  Micros read_every = 500 * core::kMilli;  // the record, by who is no voter
+  Micros ask_again = 250 * core::kMilli;   // a voter that does not answer
+};
+
+// Something worth a line in the log.
+struct Event {
+  std::string name;
+  std::vector<std::pair<std::string, std::string>> fields;
+  bool warning = false;
+};
+
+class Agent {
+ public:
+  // What comes out for the jobs of this router.
+  struct Word {
+    enum class What { starts, stops, effect, want } what;
+    std::string job;
+    std::uint64_t number = 0;
+    Effect effect;     // of an admitted effect
+    std::string from;  // of a want: who asks
+    std::uint32_t rev = 0;
+  };
+
+  Agent(AgentSettings settings, std::uint64_t seed);
+  // This router votes: memory is what its storage holds. Before start.
+  std::string vote(Memory memory, Storage& storage);
+
+  void start(Micros now);
+  void receive(Micros now, const std::string& from, std::string_view bytes);
+  void tick(Micros now);
+  Micros next() const;
+  // Gives up its jobs, tells the others, and takes no new ones. left() when the voters know, or it has been
+  // long enough.
+  void leave(Micros now);
+  bool left(Micros now) const;
+
+  // Writes an effect to all routers of the site, or to one address, if the lease is proved at this moment.
+  // False: nothing was written.
+  bool effect(Micros now, Effect effect, const std::string& site, const std::string& to = "");
+  // Asks the owner of a job what came after.
+  void want(Micros now, const std::string& job, std::uint32_t rev);
+
+  std::vector<peers::Datagram> take();
+  std::vector<Event> events() { return std::exchange(events_, {}); }
+  std::vector<Word> words() { return std::exchange(words_, {}); }
+
+  const peers::Swim& peers() const { return swim_; }
+  const Node* node() const { return node_.get(); }
+  const Table& table() const { return node_ && node_->role() != "halted" ? node_->jobs().table() : table_; }
+  const Fence& fence() const { return fence_; }
+  bool proved(Micros now, const std::string& job) const { return tenure_.proved(now, job); }
+  Status status(Micros now) const;
+
+ private:
+  struct Asked {
+    Micros sent = 0;
+    std::string what;  // renew, release, of an operator: empty
+    std::string job;
+  };
+  Packet packet(const std::string& to = "") const;
+  void send(const std::string& at, const Packet& p);
+  void settle(Micros now);  // after each turn: leadership, grants, leases
+  void ask(Micros now, const Command& command, const std::string& what, const std::string& job);
+  void goes_in(Micros now, const Command& command);
+  void answer(Micros now, const std::string& to, const Request& request);
+  void answered(Micros now, const Reply& reply);
+  void renewed(Micros now, Micros sent, const std::vector<Held>& held);
+  void take_record(Micros now, const Record& record);
+  Record record(std::uint64_t known) const;
+  void push(const std::string& router);
+  std::string voter_at(Micros now);
+  void event(std::string name, std::vector<std::pair<std::string, std::string>> fields, bool warning = false);
+
+  AgentSettings set_;
+  std::mt19937_64 random_;
+  peers::Swim swim_;
+  std::unique_ptr<Node> node_;
+  Registrar registrar_;
+  Tenure tenure_;
+  Fence fence_;
+  Table table_;  // by what voters said, where this router is none
+  std::vector<Voter> voters_;
+  std::string leader_at_;
+  Micros heard_voter_ = -1, leader_since_ = 0, next_read_ = 0, leaving_ = -1, now_ = 0;
+  std::size_t voter_turn_ = 0;
+  std::uint64_t numbers_ = 0, sequence_ = 0;
+  std::map<std::uint64_t, Asked> asked_;
+  std::vector<peers::Datagram> out_;
+  std::vector<Event> events_;
+  std::vector<Word> words_;
+  bool led_ = false, displaced_ = false, halted_told_ = false, had_leader_ = false;
+  std::uint64_t effects_sent_ = 0, effects_taken_ = 0, effects_unproved_ = 0;
+};
+
+}  // namespace flintglade::fleet
--- /dev/null
+++ b/src/fleet/disk.h
@@ -0,0 +1,40 @@
+// A voter's file on disk, in a directory of its own: record.log, and a lock that keeps a second process away.
+// Every call waits for the disk: it belongs on a thread that may. Errors are one line; after one the file is
+// not to be written again.
+#pragma once
+
+#include <string>
+
+#include "fleet/journal.h"
+
+namespace flintglade::fleet {
+
+// What a voter's log is written to. Empty: it is on stable storage.
+class Storage {
+ public:
+  virtual ~Storage() = default;
+  virtual std::string append(const std::string& bytes) = 0;
+  virtual std::string rewrite(const std::string& bytes) = 0;  // all or nothing
+};
+
+class Disk final : public Storage {
+ public:
+  Disk() = default;
+  ~Disk() override;
+  Disk(const Disk&) = delete;
+  Disk& operator=(const Disk&) = delete;
+
+  // Takes the lock and reads what is there; what is torn at the end is cut off. A missing directory or an
+  // empty one gives a memory without a head, and that is no error.
+  std::string open(const std::string& directory, Memory& out);
+  // Makes the directory, if need be, and its file. A file that is there is never written over.
+  static std::string create(const std::string& directory, const Memory& first);
+  std::string append(const std::string& bytes) override;
+  std::string rewrite(const std::string& bytes) override;
+
+ private:
+  std::string directory_;
+  int lock_ = -1, file_ = -1;
+};
+
+}  // namespace flintglade::fleet
--- /dev/null
+++ b/src/fleet/member.cpp
@@ -0,0 +1,213 @@
+#include "fleet/member.h"
+
+#include <google/protobuf/stubs/logging.h>
+#include <time.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "log/log.h"
+
+namespace flintglade::fleet {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+using log::Level;
+
+namespace {
+
+constexpr std::size_t kLargest = 65536;
+constexpr int kMostATurn = 256;
+// While an earlier process of this router still has the address or the directory.
+constexpr std::chrono::milliseconds kOpenAgain{200};
+
+// Runs while the machine sleeps, too: a lease ends on all clocks.
+Micros now() {
+  timespec t{};
+  ::clock_gettime(CLOCK_BOOTTIME, &t);
+  return static_cast<Micros>(t.tv_sec) * core::kSecond + t.tv_nsec / 1000;
+}
+
+bool parse(const std::string& at, udp::endpoint& out) {
+  config::HostPort host;
+  error_code ec;
+  if (!config::parse_host_port(at, host)) return false;
+  const auto address = asio::ip::make_address(host.host, ec);
+  out = {address, static_cast<unsigned short>(host.port)};
+  return !ec;
+}
+
+void write(const Event& e) {
+  std::string line;
+  std::vector<log::Field> fields;
+  for (const auto& [key, value] : e.fields) fields.emplace_back(key, value);
+  log::event(e.warning ? Level::warn : Level::info, e.name, fields);
+}
+
+}  // namespace
+
+Member::Member(Settings settings, OnWord on_word)
+    : set_(std::move(settings)),
+      on_word_(std::move(on_word)),
+      work_(io_.get_executor()),
+      socket_(io_),
+      timer_(io_),
+      again_(io_),
+      buffer_(kLargest, '\0') {}
+
+Member::~Member() {
+  asio::post(io_, [this] { io_.stop(); });
+  if (thread_.joinable()) thread_.join();
+}
+
+void Member::start() {
+  // What comes may be no message at all: it is counted, and needs no line of the library's own for each.
+  google::protobuf::SetLogHandler(nullptr);
+  thread_ = std::thread([this] {
+    asio::post(io_, [this] { open(); });
+    io_.run();
+  });
+}
+
+// The address first: who has it is the process of this name that takes part.
+bool Member::open() {
+  error_code ec;
+  const auto address = asio::ip::make_address(set_.listen.host, ec);
+  const udp::endpoint at(address, static_cast<unsigned short>(set_.listen.port));
+  if (!ec) socket_.open(at.protocol(), ec);
+  if (!ec) socket_.non_blocking(true, ec);
+  if (!ec) socket_.bind(at, ec);
+  if (ec) {
+    if (!std::exchange(told_, true))
+      log::event(Level::warn, "fleet_waits",
+                 {{"at", config::host_port(set_.listen.host, set_.listen.port)}, {"why", ec.message()}});
+    error_code ignored;
+    socket_.close(ignored);
+    again_.expires_after(kOpenAgain);
+    again_.async_wait([this](error_code stopped) {
+      if (!stopped && !left_) open();
+    });
+    return false;
+  }
+  const unsigned short port = socket_.local_endpoint().port();
+  if (set_.agent.self.at.empty()) set_.agent.self.at = config::host_port(set_.listen.host, port);
+  agent_ = std::make_unique<Agent>(set_.agent, set_.seed);
+  if (set_.voter_id != 0) {
+    const std::string why = vote();
+    if (why.empty()) {
+      log::event(Level::info, "votes", {{"id", set_.voter_id}, {"directory", set_.directory}});
+    } else {
+      log::event(Level::warn, "votes_not", {{"id", set_.voter_id}, {"why", why}});
+    }
+  }
+  log::event(
+      Level::info, "listening",
+      {{"name", set_.agent.self.name}, {"wire", "fleet"}, {"at", config::host_port(set_.listen.host, port)}});
+  agent_->start(now());
+  wait();
+  turn();
+  return true;
+}
+
+std::string Member::vote() {
+  disk_ = std::make_unique<Disk>();
+  Memory memory;
+  std::string why = disk_->open(set_.directory, memory);
+  if (why.empty() && memory.head.fleet().empty())
+    why = set_.directory + " holds no record: 'flintglade fleet init'";
+  if (why.empty() && memory.head.fleet() != set_.agent.peers.fleet)
+    why = set_.directory + " is of the fleet " + memory.head.fleet();
+  if (why.empty() && memory.head.id() != set_.voter_id)
+    why = set_.directory + " is of the voter " + std::to_string(memory.head.id());
+  if (why.empty()) why = agent_->vote(std::move(memory), *disk_);
+  if (!why.empty()) {
+    // Nothing of it takes part: the router follows the others.
+    agent_ = std::make_unique<Agent>(set_.agent, set_.seed);
+    disk_.reset();
+  }
+  return why;
+}
+
+void Member::wait() {
+  socket_.async_wait(udp::socket::wait_read, [this](error_code ec) {
+    if (ec) return;
+    read();
+    wait();
+  });
+}
+
+void Member::read() {
+  for (int i = 0; i < kMostATurn; ++i) {
+    udp::endpoint from;
+    error_code ec;
+    const std::size_t n = socket_.receive_from(asio::buffer(buffer_), from, 0, ec);
+    // A refusal that came back for something sent before is no end of this.
+    if (ec == asio::error::connection_refused) continue;
+    if (ec) break;
+    agent_->receive(now(), config::host_port(from.address().to_string(), from.port()),
+                    std::string_view(buffer_).substr(0, n));
+  }
+  turn();
+}
+
+void Member::turn() {
+  if (!agent_) return;
+  for (const Event& e : agent_->events()) write(e);
+  for (const Agent::Word& w : agent_->words()) on_word_(w);
+  for (const peers::Datagram& d : agent_->take()) {
+    udp::endpoint to;
+    error_code ignored;
+    if (parse(d.to, to)) socket_.send_to(asio::buffer(d.bytes), to, 0, ignored);
+  }
+  if (left_ && agent_->left(now())) {
+    const auto done = std::exchange(left_, nullptr);
+    timer_.cancel();
+    return done();
+  }
+  arm();
+}
+
+void Member::arm() {
+  Micros at = agent_->next();
+  const Micros t = now();
+  if (left_) at = std::min(at, t + 50 * core::kMilli);
+  if (at == core::kNever) at = t + core::kSecond;
+  timer_.expires_after(std::chrono::microseconds(std::max<Micros>(0, at - t)));
+  timer_.async_wait([this](error_code ec) {
+    if (ec) return;
+    agent_->tick(now());
+    turn();
+  });
+}
+
+void Member::leave(std::function<void()> done) {
+  asio::post(io_, [this, done = std::move(done)] {
+    if (!agent_) {
+      left_ = [] {};
+      return done();
+    }
+    agent_->leave(now());
+    left_ = done;
+    turn();
+  });
+}
+
+void Member::effect(Effect effect, std::string site, std::string to) {
+  asio::post(io_, [this, effect = std::move(effect), site = std::move(site), to = std::move(to)] {
+    if (!agent_) return;
+    agent_->effect(now(), effect, site, to);
+    turn();
+  });
+}
+
+void Member::want(std::string job, std::uint32_t rev) {
+  asio::post(io_, [this, job = std::move(job), rev] {
+    if (!agent_) return;
+    agent_->want(now(), job, rev);
+    turn();
+  });
+}
+
+}  // namespace flintglade::fleet
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -127,14 +127,23 @@
   return s.logger.should_log(to_spd(level));
 }
 
-void event(Level level, std::string_view name, std::initializer_list<Field> fields) {
+namespace {
+void write_event(Level level, std::string_view name, const Field* fields, std::size_t count) {
   State& s = state();
   const std::lock_guard lock(s.mutex);
   const std::int64_t now = now_us();
   tell_counts(s, now);
   if (!s.logger.should_log(to_spd(level))) return;
   if (level != Level::debug && !s.collapse.take(name, now)) return;
-  s.logger.log(to_spd(level), "{}", render(s.format, name, fields.begin(), fields.size()));
+  s.logger.log(to_spd(level), "{}", render(s.format, name, fields, count));
+}
+}  // namespace
+
+void event(Level level, std::string_view name, std::initializer_list<Field> fields) {
+  write_event(level, name, fields.begin(), fields.size());
+}
+void event(Level level, std::string_view name, const std::vector<Field>& fields) {
+  write_event(level, name, fields.data(), fields.size());
 }
 
 void reply(std::string_view name, const std::vector<Field>& fields) {
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -34,6 +34,7 @@
 bool configure(std::string_view format, std::string_view level);
 bool enabled(Level level);  // whether event() would write at this level
 void event(Level level, std::string_view name, std::initializer_list<Field> fields);
+void event(Level level, std::string_view name, const std::vector<Field>& fields);
 // What somebody asked for, such as the counters at SIGUSR1: never collapsed.
 void reply(std::string_view name, const std::vector<Field>& fields);
 void flush();             // writes what is counted; for the end of the process
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -50,6 +50,37 @@
   conformance->add_option("--server-name", suite.server_name, "which its certificate must have")->needs(ca);
   conformance->add_option("--junit", suite.junit, "write the results to this file, as JUnit's XML");
 
+  commands::FleetOptions of_fleet;
+  CLI::App* fleet = app.add_subcommand("fleet", "Routers that know one another, and who owns which job");
+  fleet->require_subcommand(1);
+  const auto ask = [&](const char* name, const char* what) {
+    CLI::App* sub = fleet->add_subcommand(name, what);
+    sub->add_option("ADDRESS", of_fleet.at, "where a router of the fleet listens")->required();
+    sub->add_flag("--json", of_fleet.json, "print all that it says, as JSON");
+    return sub;
+  };
+  CLI::App* fleet_status = ask("status", "Show what this router knows of its fleet");
+  CLI::App* fleet_jobs = ask("jobs", "Show the jobs and their owners");
+  CLI::App* fleet_voters = ask("voters", "Show the voters, or change them, one at a time");
+  auto* add = fleet_voters->add_option("--add", of_fleet.add,
+                                       "ID=ADDRESS:PORT of one that starts with an empty record");
+  fleet_voters->add_option("--remove", of_fleet.remove, "a voter's id")->excludes(add);
+  CLI::App* fleet_move = fleet->add_subcommand("move", "Have a job done elsewhere");
+  fleet_move->add_option("JOB", of_fleet.job, "its name")->required();
+  fleet_move->add_option("ROUTER", of_fleet.router, "who is to own it")->required();
+  fleet_move->add_option("--at", of_fleet.at, "where a router of the fleet listens")->required();
+  CLI::App* fleet_init =
+      fleet->add_subcommand("init", "Make a voter's directory, once, before its first start");
+  fleet_init->add_option("FILE", of_fleet.file, "the operator's file")->required();
+  fleet_init->add_option("--router", of_fleet.router, "this router's name")->required();
+  fleet_init->add_flag("--join", of_fleet.join,
+                       "the fleet has a record already: this voter is to be added to it");
+
+  std::vector<std::string> logs;
+  CLI::App* fleet_audit =
+      fleet->add_subcommand("audit", "Check the rules of jobs on the logs of a fleet's routers");
+  fleet_audit->add_option("LOG", logs, "the log of a router; all of them together")->required();
+
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
@@ -59,6 +90,18 @@
   int status = 0;
   if (check->parsed()) {
     status = commands::check(file);
+  } else if (fleet_status->parsed()) {
+    status = commands::fleet_status(of_fleet);
+  } else if (fleet_jobs->parsed()) {
+    status = commands::fleet_jobs(of_fleet);
+  } else if (fleet_voters->parsed()) {
+    status = commands::fleet_voters(of_fleet);
+  } else if (fleet_move->parsed()) {
+    status = commands::fleet_move(of_fleet);
+  } else if (fleet_init->parsed()) {
+    status = commands::fleet_init(of_fleet);
+  } else if (fleet_audit->parsed()) {
+    status = commands::fleet_audit(logs);
   } else if (conformance->parsed()) {
     status = commands::conformance(suite);
   } else if (resolve->parsed()) {
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -269,6 +269,56 @@
   return error;
 }
 
+std::string check(const deploy::Fleet& fleet, const Place& at) {
+  if (fleet.name().empty()) return at.wrong("name: there is none");
+  if (!is_host_port(fleet.listen())) return at.in("listen").wrong("not of the form ADDRESS:PORT");
+  if (!fleet.advertise().empty() && !is_host_port(fleet.advertise()))
+    return at.in("advertise").wrong("not of the form ADDRESS:PORT");
+  for (const auto& [field, text] : {std::pair{"name", fleet.name()}, std::pair{"site", fleet.site()}}) {
+    if (text.size() > 64) return at.in(field).wrong("longer than 64 characters");
+  }
+  for (int i = 0; i < fleet.seeds_size(); ++i) {
+    if (!is_host_port(fleet.seeds(i))) return at.in("seeds", i).wrong("not of the form ADDRESS:PORT");
+  }
+  if (fleet.voters_size() % 2 == 0 && fleet.voters_size() > 0)
+    return at.in("voters", fleet.voters_size() - 1)
+        .wrong("an even number of voters stands no more failures than one fewer");
+  if (fleet.voters_size() > 5) return at.in("voters", 5).wrong("more than 5 voters");
+  std::set<std::string> routers, places;
+  std::set<std::uint64_t> ids;
+  for (int i = 0; i < fleet.voters_size(); ++i) {
+    const deploy::FleetVoter& v = fleet.voters(i);
+    const Place here = at.in("voters", i);
+    if (v.router().empty()) return here.wrong("router: there is none");
+    if (v.id() == 0) return here.wrong("id: from 1");
+    if (!is_host_port(v.at())) return here.in("at").wrong("not of the form ADDRESS:PORT");
+    if (!routers.insert(v.router()).second)
+      return here.in("router").wrong("a voter of this router stands before");
+    if (!ids.insert(v.id()).second) return here.in("id").wrong("a voter of this id stands before");
+    if (!places.insert(v.at()).second) return here.in("at").wrong("a voter at this address stands before");
+  }
+  std::set<std::string> sites;
+  for (int i = 0; i < fleet.list_readers_size(); ++i) {
+    if (fleet.list_readers(i).empty()) return at.in("list_readers", i).wrong("a site needs a name");
+    if (!sites.insert(fleet.list_readers(i)).second)
+      return at.in("list_readers", i).wrong("this site stands before");
+  }
+  if (!sites.empty() && fleet.voters().empty())
+    return at.wrong("list_readers: without voters no job has an owner");
+  std::string error = numbers(fleet, at,
+                              {{"period_s", 0.02, 60},
+                               {"probe_timeout_s", 0.005, 30},
+                               {"lease_s", 0.2, 60},
+                               {"election_s", 0.1, 60},
+                               {"list_silence_s", 0.2, 600},
+                               {"most_routers", 2, 65536}});
+  const double period = fleet.has_period_s() ? fleet.period_s() : 1.0,
+               timeout = fleet.has_probe_timeout_s() ? fleet.probe_timeout_s() : 0.2;
+  if (error.empty() && timeout > period / 2)
+    error = at.wrong("probe_timeout_s: more than half of period_s leaves others no time to probe");
+  return error;
+}
+
 }  // namespace
 
 std::string parse(const std::string& text, const std::string& name, deploy::OperatorFile& out) {
@@ -286,6 +336,11 @@
   std::string error;
   if (out.has_kserve()) error = check(out.kserve(), root.in("kserve"));
   if (error.empty() && out.has_membership()) error = check(out.membership(), root.in("membership"));
+  if (error.empty() && out.has_fleet()) error = check(out.fleet(), root.in("fleet"));
+  if (error.empty() && out.has_membership() && !out.fleet().list_readers().empty())
+    error = root.in("fleet")
+                .in("list_readers", 0)
+                .wrong("with sources of one's own, each router reads the list itself");
   if (error.empty()) error = numbers(out.calls(), root.in("calls"), {{"cancel_hold_s", 0, 60}});
   return error;
 }
@@ -345,6 +400,17 @@
   } else {
     out += "kserve: off\n";
   }
+  if (file.has_fleet()) {
+    const auto& fleet = file.fleet();
+    out += "fleet: " + fleet.name() + " at " + fleet.listen() +
+           (fleet.site().empty() ? "" : ", site " + fleet.site()) + ", seeds:";
+    for (const std::string& seed : fleet.seeds()) out += " " + seed;
+    out += "\n";
+    for (const auto& v : fleet.voters())
+      out += "fleet: voter " + std::to_string(v.id()) + " is " + v.router() + " at " + v.at() + "\n";
+    for (const std::string& site : fleet.list_readers())
+      out += "fleet: one router of " + site + " reads the list for all of it\n";
+  }
   if (!file.has_membership()) return out + "membership: the platform's list alone\n";
   for (const auto& source : file.membership().sources()) {
     out += "membership: source " + source.name() + ": ";
--- /dev/null
+++ b/tests/fleet/owners_test.cpp
@@ -0,0 +1,514 @@
+// Routers of one fleet as processes, with a link between each pair that can be cut, delayed or lossy, and
+// processes that are stopped, killed and started again: owners_test PROGRAM CASE [N [SEED]]. Every case ends
+// with the audit that operators have, over the logs of all processes.
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <random>
+#include <sstream>
+
+#include "check.h"
+#include "fleet/audit.h"
+#include "fleet/links.h"
+#include "fleet/process.h"
+#include "settings.h"
+#include "stand_ins.h"
+
+namespace {
+
+using namespace flintglade::tests;
+using flintglade::fleet::Audit;
+using flintglade::fleet::LogLine;
+
+std::string g_program;
+constexpr const char* kJob = "list-reader@hall";
+constexpr int kLeaseMs = 800;
+
+void pause(int ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
+double since(std::chrono::steady_clock::time_point from) {
+  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - from).count();
+}
+std::chrono::steady_clock::time_point now() { return std::chrono::steady_clock::now(); }
+double percentile(std::vector<double> of, double part) {
+  if (of.empty()) return 0.0;
+  std::sort(of.begin(), of.end());
+  return of[std::min(of.size() - 1, static_cast<std::size_t>(part * static_cast<double>(of.size())))];
+}
+
+std::string contents(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  return std::string(std::istreambuf_iterator<char>(in), {});
+}
+
+class Fleet {
+ public:
+  Links links;
+  Discovery discovery;
+
+  // One link more than routers: for a process that a case starts itself.
+  Fleet(std::size_t routers, std::size_t voters, std::uint64_t seed)
+      : links(routers + 1, seed), voters_(voters) {
+    char name[] = "/tmp/flintglade-owners-XXXXXX";
+    CHECK(::mkdtemp(name) != nullptr);
+    folder = name;
+    replica_ = make_replica(Protocol::http, "stream", 1);
+    change("Ready");
+    routers_.resize(routers);
+    for (std::size_t i = 0; i < routers; ++i) {
+      write_file(i);
+      if (i < voters) CHECK(command({"fleet", "init", file(i), "--router", id(i)}) == 0);
+    }
+    for (std::size_t i = 0; i < routers; ++i) start(i);
+  }
+  ~Fleet() {
+    routers_.clear();
+    std::filesystem::remove_all(folder);
+  }
+
+  static std::string id(std::size_t i) { return "n" + std::to_string(i); }
+  std::string file(std::size_t i) const { return folder + "/" + id(i) + ".textproto"; }
+  std::string disk(std::size_t i) const { return folder + "/" + id(i) + ".record"; }
+  std::size_t size() const { return routers_.size(); }
+  void change(const std::string& state) {
+    discovery.change("{\"uid\":\"s-0\",\"endpoint\":\"127.0.0.1:" + std::to_string(replica_->port()) +
+                     "\",\"az\":\"hall\",\"model\":\"gpu\",\"pod_group\":0,\"state\":\"" + state +
+                     "\",\"capacity_hint\":1.0,\"boot_ms\":0}");
+  }
+
+  void start(std::size_t i) {
+    const std::string config = folder + "/" + id(i) + ".json";
+    std::ofstream(config) << "{\"name\":\"" << id(i)
+                          << "\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" << discovery.port()
+                          << "\",\"seed\":\"" << ++starts_
+                          << "\",\"limits\":{\"memory_mb\":64,\"sockets\":256},\"settings\":" << kSettings
+                          << "}";
+    Start s{g_program, {"serve", "--operator", file(i)}, {{"GW_CONFIG", config}, {"TMPDIR", folder}}, -1};
+    auto p = std::make_unique<Process>(s);
+    unsigned short port = 0;
+    CHECK(within(5000, [&] { return (port = p->port("wire=fleet at=127.0.0.1:")) != 0; }));
+    links.real(i, port);
+    ports_[i] = port;
+    routers_[i] = std::move(p);
+  }
+  void signal(std::size_t i, int which) { routers_[i]->signal(which); }
+  void kill(std::size_t i) {
+    links.real(i, 0);
+    routers_[i]->signal(SIGKILL);
+    int status = 0;
+    CHECK(within(3000, [&] { return routers_[i]->ended(status); }));
+    logs_[i] += routers_[i]->log();
+    routers_[i].reset();
+  }
+  bool runs(std::size_t i) const { return routers_[i] != nullptr; }
+  std::string log(std::size_t i) const {
+    const auto it = logs_.find(i);
+    return (it == logs_.end() ? "" : it->second) + (routers_[i] ? routers_[i]->log() : "");
+  }
+  std::string address(std::size_t i) const { return "127.0.0.1:" + std::to_string(ports_.at(i)); }
+
+  Audit audit() const {
+    Audit out;
+    for (std::size_t i = 0; i < routers_.size(); ++i) out.read(id(i), log(i));
+    return out;
+  }
+  // The one owner that has started last, if it has not stopped since; of processes that live.
+  int owner() const {
+    const auto owners = audit().owners();
+    const Audit::Owner* last = nullptr;
+    for (const Audit::Owner& o : owners) {
+      if (o.job == kJob && (last == nullptr || o.number >= last->number)) last = &o;
+    }
+    if (last == nullptr || last->why != "its log ends") return -1;
+    for (std::size_t i = 0; i < routers_.size(); ++i) {
+      if (id(i) == last->router && runs(i)) return static_cast<int>(i);
+    }
+    return -1;
+  }
+  std::uint64_t number() const {
+    std::uint64_t most = 0;
+    for (const Audit::Owner& o : audit().owners()) most = std::max(most, o.number);
+    return most;
+  }
+  int wait_owner(std::uint64_t above, int ms, const std::vector<std::size_t>& not_these = {}) {
+    int found = -1;
+    within(ms, [&] {
+      const int o = owner();
+      if (o < 0 || number() <= above) return false;
+      if (std::find(not_these.begin(), not_these.end(), static_cast<std::size_t>(o)) != not_these.end())
+        return false;
+      found = o;
+      return true;
+    });
+    return found;
+  }
+  int leader() const {
+    int found = -1;
+    std::uint64_t term = 0;
+    for (std::size_t i = 0; i < voters_; ++i) {
+      if (!runs(i)) continue;
+      std::istringstream lines(log(i));
+      std::uint64_t leads = 0;
+      for (std::string text; std::getline(lines, text);) {
+        LogLine line;
+        if (!flintglade::fleet::read_line(text, line)) continue;
+        if (line.event == "leads") leads = std::strtoull(line["term"].c_str(), nullptr, 10);
+        if (line.event == "leads_no_more" || (line.event == "listening" && line["wire"] == "http")) leads = 0;
+      }
+      if (leads > term) {
+        term = leads;
+        found = static_cast<int>(i);
+      }
+    }
+    return found;
+  }
+  std::size_t count(const std::string& mark) const {
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < routers_.size(); ++i) n += runs(i) && log(i).find(mark) != std::string::npos;
+    return n;
+  }
+  std::size_t reads_as(const std::string& state) const {
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < routers_.size(); ++i) {
+      if (!runs(i)) continue;
+      const std::string text = routers_[i]->log();
+      const std::size_t at = text.rfind("event=list_read as=");
+      n += (at == std::string::npos ? "alone" : text.substr(at + 19, text.find('\n', at) - at - 19)) == state;
+    }
+    return n;
+  }
+  // One reads the list, and all the others hear it.
+  void all_follow() const {
+    const bool so =
+        within(15000, [&] { return reads_as("following") == size() - 1 && reads_as("reader") == 1; });
+    if (!so) print_logs();
+    CHECK(so);
+  }
+  int command(const std::vector<std::string>& words) const {
+    Process p(Start{g_program, words, {}, -1});
+    int status = 0;
+    if (!within(15000, [&] { return p.ended(status); })) return -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  void sound() const {
+    const Audit a = audit();
+    for (const std::string& b : a.broken()) std::fprintf(stderr, "BROKEN: %s\n", b.c_str());
+    CHECK(a.broken().empty());
+  }
+  void print_logs() const {
+    for (std::size_t i = 0; i < routers_.size(); ++i)
+      std::fprintf(stderr, "== %s\n%s", id(i).c_str(), log(i).c_str());
+  }
+  std::string folder;
+
+ private:
+  void write_file(std::size_t i) {
+    std::ofstream out(file(i));
+    out << "fleet { name: \"test\" listen: \"127.0.0.1:0\" advertise: \"" << links.at(i)
+        << "\" site: \"hall\"\n"
+        << "directory: \"" << disk(i)
+        << "\" list_readers: \"hall\" period_s: 0.2 probe_timeout_s: 0.06 lease_s: " << kLeaseMs / 1000.0
+        << " election_s: 0.3 list_silence_s: 0.6\n";
+    for (std::size_t v = 0; v < voters_; ++v)
+      out << "seeds: \"" << links.at(v) << "\" voters { router: \"" << id(v) << "\" id: " << v + 1
+          << " at: \"" << links.at(v) << "\" }\n";
+    out << "}\n";
+  }
+  std::size_t voters_;
+  int starts_ = 0;
+  std::unique_ptr<Replica> replica_;
+  std::vector<std::unique_ptr<Process>> routers_;
+  std::map<std::size_t, std::string> logs_;
+  std::map<std::size_t, unsigned short> ports_;
+};
+
+std::vector<std::size_t> others(const Fleet& fleet, std::size_t but) {
+  std::vector<std::size_t> out;
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    if (i != but) out.push_back(i);
+  }
+  return out;
+}
+
+// ---- cases
+
+// Owners are killed, one after another, and come back as processes that own nothing.
+void killed(int rounds, std::uint64_t seed) {
+  Fleet fleet(5, 3, seed);
+  std::vector<double> took;
+  int owner = fleet.wait_owner(0, 10000);
+  CHECK(owner >= 0);
+  for (int i = 0; i < rounds; ++i) {
+    const std::uint64_t before = fleet.number();
+    fleet.kill(static_cast<std::size_t>(owner));
+    const auto from = now();
+    const int next = fleet.wait_owner(before, 10000);
+    took.push_back(since(from));
+    CHECK(next >= 0 && next != owner);
+    fleet.start(static_cast<std::size_t>(owner));
+    owner = next;
+  }
+  std::printf("owner killed, to the next one: p50 %.0f ms, most %.0f ms (lease %d ms)\n",
+              percentile(took, 0.5), percentile(took, 1.0), kLeaseMs);
+  fleet.sound();
+}
+
+// Owners are stopped for less and for more than their lease, and wake up late.
+void stopped(int rounds, std::uint64_t seed) {
+  Fleet fleet(5, 3, seed);
+  std::mt19937_64 random(seed);
+  int owner = fleet.wait_owner(0, 10000);
+  CHECK(owner >= 0);
+  std::size_t moved = 0;
+  for (int i = 0; i < rounds; ++i) {
+    const std::uint64_t before = fleet.number();
+    // While it writes: the list changes in the moment of the stop.
+    fleet.change(i % 2 == 0 ? "Ready" : "Terminating");
+    pause(static_cast<int>(random() % 4));
+    fleet.signal(static_cast<std::size_t>(owner), SIGSTOP);
+    const int length = i % 3 == 0   ? kLeaseMs - 150
+                       : i % 3 == 1 ? kLeaseMs * 4
+                                    : kLeaseMs + static_cast<int>(random() % 600);
+    pause(length);
+    fleet.signal(static_cast<std::size_t>(owner), SIGCONT);
+    if (length > 3 * kLeaseMs) CHECK(fleet.wait_owner(before, 10000) != owner);
+    pause(300);
+    owner = fleet.wait_owner(0, 10000);
+    if (owner < 0) fleet.print_logs();
+    CHECK(owner >= 0);
+    moved += fleet.number() > before;
+  }
+  const Audit a = fleet.audit();
+  std::printf("%d stops, %zu changes of owner, %llu effects of former owners refused\n", rounds, moved,
+              static_cast<unsigned long long>(a.refused()));
+  fleet.sound();
+}
+
+// Cuts: the owner from the voters only, from the others only, one way; voters apart; the leader stopped.
+void cuts(int, std::uint64_t seed) {
+  Fleet fleet(6, 3, seed);
+  const Link cut{true, 0, 0, 0, 0};
+  int owner = fleet.wait_owner(0, 10000);
+  CHECK(owner >= 0);
+  const auto owned_again = [&](std::uint64_t above, const std::vector<std::size_t>& but) {
+    const int o = fleet.wait_owner(above, 10000, but);
+    if (o < 0) fleet.print_logs();
+    CHECK(o >= 0);
+    return o;
+  };
+  // The job is to be where no voter is.
+  if (owner < 3) {
+    CHECK(fleet.command({"fleet", "move", kJob, "n4", "--at", fleet.address(0)}) == 0);
+    CHECK(within(5000, [&] { return fleet.owner() == 4; }));
+    owner = 4;
+  }
+  const std::size_t o = static_cast<std::size_t>(owner);
+  std::uint64_t number = fleet.number();
+  fleet.links.between({o}, {0, 1, 2}, cut);  // it still reaches all that take its effects
+  const int second = owned_again(number, {o});
+  fleet.links.all({});
+  number = fleet.number();
+  // From those that take, not from the voters: the lease is kept, and they read for themselves.
+  const std::size_t s = static_cast<std::size_t>(second);
+  std::vector<std::size_t> takers;
+  for (const std::size_t i : others(fleet, s)) {
+    if (i >= 3) takers.push_back(i);
+  }
+  fleet.links.between({s}, takers, cut);
+  CHECK(within(8000, [&] { return fleet.reads_as("alone") >= takers.size(); }));
+  fleet.links.all({});
+  fleet.all_follow();
+  // One way: it hears, and is not heard.
+  int third = fleet.owner();
+  CHECK(third >= 0);
+  number = fleet.number();
+  fleet.links.between({static_cast<std::size_t>(third)}, others(fleet, static_cast<std::size_t>(third)), cut,
+                      false);
+  owned_again(number, {static_cast<std::size_t>(third)});
+  fleet.links.all({});
+  // The leader is stopped: another one leads, and whoever owns goes on.
+  CHECK(within(10000, [&] { return fleet.leader() >= 0; }));
+  const int leader = fleet.leader();
+  fleet.signal(static_cast<std::size_t>(leader), SIGSTOP);
+  CHECK(within(10000, [&] { return fleet.leader() != leader && fleet.wait_owner(0, 10) >= 0; }));
+  fleet.signal(static_cast<std::size_t>(leader), SIGCONT);
+  // The voters apart, 1 : 1 : 1. Nobody can own anything, and everybody reads for himself.
+  fleet.links.between({0}, {1, 2}, cut);
+  fleet.links.between({1}, {2}, cut);
+  CHECK(within(8000, [&] { return fleet.owner() < 0 && fleet.reads_as("alone") == fleet.size(); }));
+  number = fleet.number();
+  fleet.links.all({});
+  owned_again(0, {});
+  fleet.all_follow();
+  // A network that loses, doubles, delays and reorders all the while: rules hold, and a change reaches all.
+  fleet.links.all({false, 0.1, 0.1, 2, 20});
+  fleet.change("Terminating");
+  pause(2000);
+  fleet.links.all({});
+  fleet.sound();
+}
+
+// All are killed at once and come back; a majority of the disks is lost, and the fleet needs a person.
+void all_at_once(int, std::uint64_t seed) {
+  Fleet fleet(5, 3, seed);
+  CHECK(fleet.wait_owner(0, 10000) >= 0);
+  const std::uint64_t before = fleet.number();
+  for (std::size_t i = 0; i < fleet.size(); ++i) fleet.kill(i);
+  for (std::size_t i = 0; i < fleet.size(); ++i) fleet.start(i);
+  CHECK(fleet.wait_owner(before, 10000) >= 0);  // under a number that nobody had
+  // A disk that is gone: its router does not vote, and two are enough.
+  const std::uint64_t number = fleet.number();
+  fleet.kill(0);
+  std::filesystem::remove_all(fleet.disk(0));
+  fleet.start(0);
+  CHECK(within(3000, [&] { return fleet.log(0).find("event=votes_not") != std::string::npos; }));
+  const int owner = fleet.wait_owner(0, 10000);
+  CHECK(owner >= 0);
+  // Its id is used up: it comes back as another voter, and the old one is let go.
+  CHECK(fleet.command({"fleet", "voters", fleet.address(1), "--remove", "1"}) == 0);
+  std::string text = contents(fleet.file(0));
+  const std::size_t at = text.find("id: 1 ");
+  CHECK(at != std::string::npos);
+  text.replace(at, 5, "id: 9");
+  std::ofstream(fleet.file(0)) << text;
+  CHECK(fleet.command({"fleet", "init", fleet.file(0), "--router", "n0", "--join"}) == 0);
+  CHECK(fleet.command({"fleet", "init", fleet.file(0), "--router", "n0", "--join"}) == 1);  // never twice
+  fleet.kill(0);
+  fleet.start(0);
+  CHECK(fleet.command({"fleet", "voters", fleet.address(1), "--add", "9=" + fleet.links.at(0)}) == 0);
+  // It votes now: of the three, one of the old ones may go.
+  const std::size_t gone = fleet.leader() == 1 ? 1 : 2;
+  fleet.kill(gone);
+  CHECK(fleet.wait_owner(fleet.number() - 1, 10000) >= 0);
+  CHECK(fleet.number() >= number);
+  fleet.sound();
+  // Damaged, of another fleet, and read by nobody else: stated, and the router serves on.
+  const std::string record = fleet.disk(gone) + "/record.log";
+  std::string bytes = contents(record);
+  bytes[bytes.size() / 2] = static_cast<char>(bytes[bytes.size() / 2] ^ 1);
+  std::ofstream(record, std::ios::binary) << bytes;
+  fleet.start(gone);
+  CHECK(within(3000, [&] { return fleet.log(gone).find("event=votes_not") != std::string::npos; }));
+  // The majority's disks are lost: no job has an owner any more, and all read for themselves.
+  for (const std::size_t i : {std::size_t{1}, std::size_t{2}}) {
+    if (fleet.runs(i)) fleet.kill(i);
+    std::filesystem::remove_all(fleet.disk(i));
+    fleet.start(i);
+  }
+  CHECK(within(10000, [&] { return fleet.reads_as("alone") == fleet.size(); }));
+  CHECK(within(8000, [&] { return fleet.log(4).find("event=fleet_unled") != std::string::npos; }));
+}
+
+// Jobs are moved by hand while the list changes: short gaps, and nobody misses a change.
+void moved(int rounds, std::uint64_t seed) {
+  Fleet fleet(5, 3, seed);
+  CHECK(fleet.wait_owner(0, 10000) >= 0);
+  std::vector<double> gaps;
+  for (int i = 0; i < rounds; ++i) {
+    const std::string to = "n" + std::to_string(i % 5);
+    const int before = fleet.owner();
+    CHECK(before >= 0);
+    if (Fleet::id(static_cast<std::size_t>(before)) == to) continue;
+    const std::uint64_t number = fleet.number();
+    CHECK(fleet.command(
+              {"fleet", "move", kJob, to, "--at", fleet.address(static_cast<std::size_t>(i) % 5)}) == 0);
+    CHECK(within(5000, [&] { return fleet.number() > number && fleet.owner() == i % 5; }));
+    const auto owners = fleet.audit().owners();
+    gaps.push_back(static_cast<double>(owners.back().from_ms - owners[owners.size() - 2].to_ms));
+    fleet.change(i % 2 == 0 ? "Terminating" : "Ready");
+    pause(50);
+  }
+  std::printf("moved %zu times, gap p50 %.0f ms, most %.0f ms\n", gaps.size(), percentile(gaps, 0.5),
+              percentile(gaps, 1.0));
+  CHECK(fleet.command({"fleet", "move", "no-such-job", "n1", "--at", fleet.address(0)}) == 1);
+  CHECK(fleet.command({"fleet", "move", kJob, "n77", "--at", fleet.address(0)}) == 1);
+  CHECK(fleet.command({"fleet", "status", fleet.address(3)}) == 0);
+  CHECK(fleet.command({"fleet", "jobs", fleet.address(3), "--json"}) == 0);
+  CHECK(fleet.command({"fleet", "voters", "127.0.0.1:1"}) == 1);
+  fleet.sound();
+}
+
+// Many, of which a part is killed each second, and comes back.
+void many(int routers, std::uint64_t seed) {
+  Fleet fleet(static_cast<std::size_t>(routers), 5, seed);
+  std::mt19937_64 random(seed);
+  CHECK(fleet.wait_owner(0, 15000) >= 0);
+  const int seconds = 10;
+  std::vector<std::size_t> down;
+  const auto from = now();
+  const std::uint64_t passed = fleet.links.passed();
+  for (int second = 0; second < seconds; ++second) {
+    for (const std::size_t i : std::exchange(down, {})) fleet.start(i);
+    for (int k = 0; k < std::max(1, routers / 10); ++k) {
+      const std::size_t i = random() % fleet.size();
+      // Two of the five voters at the most.
+      const auto voters =
+          static_cast<int>(std::count_if(down.begin(), down.end(), [](auto d) { return d < 5; }));
+      if (!fleet.runs(i) || (i < 5 && voters >= 2)) continue;
+      fleet.kill(i);
+      down.push_back(i);
+    }
+    pause(std::max(0, 1000 * (second + 1) - static_cast<int>(since(from))));
+  }
+  for (const std::size_t i : down) fleet.start(i);
+  const double took = since(from) / 1e3;
+  if (fleet.wait_owner(0, 15000) < 0) {
+    fleet.print_logs();
+    CHECK(!"no owner at the end");
+  }
+  fleet.all_follow();
+  double longest = 0;
+  const auto owners = fleet.audit().owners();
+  for (std::size_t i = 1; i < owners.size(); ++i)
+    longest = std::max(longest, static_cast<double>(owners[i].from_ms - owners[i - 1].to_ms));
+  std::printf(
+      "%zu routers, %zu owners, longest time without one %.0f ms, %.0f datagrams a second and router\n",
+      fleet.size(), owners.size(), longest,
+      static_cast<double>(fleet.links.passed() - passed) / took / static_cast<double>(fleet.size()));
+  fleet.sound();
+}
+
+// Two processes of one name: the later one has it, the earlier one goes on serving without its fleet.
+void one_name(int, std::uint64_t seed) {
+  Fleet fleet(4, 3, seed);
+  CHECK(fleet.wait_owner(0, 10000) >= 0);
+  // A second process of the name n3, at another address.
+  const std::string twin_file = fleet.folder + "/twin.textproto";
+  std::string text = contents(fleet.file(3));
+  const std::size_t at = text.find(fleet.links.at(3));
+  CHECK(at != std::string::npos);
+  text.replace(at, fleet.links.at(3).size(), fleet.links.at(4));
+  std::ofstream(twin_file) << text;
+  Process twin(Start{g_program,
+                     {"serve", "--operator", twin_file},
+                     {{"GW_CONFIG", fleet.folder + "/n3.json"}, {"TMPDIR", fleet.folder}},
+                     -1});
+  unsigned short port = 0;
+  CHECK(within(5000, [&] { return (port = twin.port("wire=fleet at=127.0.0.1:")) != 0; }));
+  fleet.links.real(4, port);
+  CHECK(within(10000, [&] { return fleet.log(3).find("event=displaced") != std::string::npos; }));
+  CHECK(twin.log().find("event=displaced") == std::string::npos);
+  fleet.sound();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 3) return 2;
+  g_program = argv[1];
+  const int n = argc > 3 ? std::atoi(argv[3]) : 0;
+  const std::uint64_t seed = argc > 4 ? std::strtoull(argv[4], nullptr, 10) : 7;
+  const std::map<std::string, std::function<void(int, std::uint64_t)>> cases = {
+      {"killed", killed}, {"stopped", stopped}, {"cuts", cuts},        {"all_at_once", all_at_once},
+      {"moved", moved},   {"many", many},       {"one_name", one_name}};
+  const auto it = cases.find(argv[2]);
+  if (it == cases.end()) return 2;
+  it->second(n, seed);
+}
--- /dev/null
+++ b/tests/fleet/sim.cpp
@@ -0,0 +1,289 @@
+#include "fleet/sim.h"
+
+#include <algorithm>
+
+#include "fleet/journal.h"
+
+namespace flintglade::tests {
+namespace {
+
+constexpr Micros kStep = 5 * core::kMilli;
+
+struct MemoryDisk final : fleet::Storage {
+  std::string bytes;
+  bool fails = false;
+  std::string append(const std::string& more) override {
+    if (fails) return "no space";
+    bytes += more;
+    return "";
+  }
+  std::string rewrite(const std::string& all) override {
+    if (fails) return "no space";
+    bytes = all;
+    return "";
+  }
+};
+
+struct Box {
+  fleet::AgentSettings settings;
+  std::unique_ptr<fleet::Agent> agent;
+  std::unique_ptr<MemoryDisk> disk;  // of a voter
+  double rate = 1.0;
+  Micros offset = 0, paused_until = 0, down_until = 0, next_effect = 0;
+  std::map<std::string, std::uint64_t> taken;  // the highest number whose effect it took
+  Micros local(Micros t) const { return offset + static_cast<Micros>(rate * static_cast<double>(t)); }
+};
+
+struct Flying {
+  Micros due;
+  std::size_t from, to;
+  std::string bytes;
+};
+
+class Play {
+ public:
+  Play(const World& world, const std::vector<Fault>& faults)
+      : world_(world), faults_(faults), random_(world.seed) {
+    std::vector<fleet::VoterAt> voters;
+    for (unsigned i = 0; i < world.voters; ++i) voters.push_back({name(i), i + 1, at(i)});
+    for (unsigned i = 0; i < world.routers; ++i) {
+      Box& b = boxes_.emplace_back();
+      b.settings.peers.fleet = "test";
+      b.settings.peers.seeds = {at(0), at(1)};
+      b.settings.self = {name(i), i % 2 == 0 ? "north" : "south", at(i), 1'000'000 + i};
+      b.settings.voters = voters;
+      b.settings.lease = i < world.voters ? world.leaders : world.owners;
+      for (unsigned j = 0; j < world.jobs; ++j) b.settings.wanted.push_back({"job" + std::to_string(j), ""});
+      b.rate = 1.0 + world.drift / 2 * (2.0 * std::uniform_real_distribution<>()(random_) - 1.0);
+      b.offset = std::uniform_int_distribution<Micros>(0, 1000 * core::kSecond)(random_);
+      if (i < world.voters) {
+        b.disk = std::make_unique<MemoryDisk>();
+        std::vector<fleet::Voter> first;
+        for (const auto& v : voters) {
+          fleet::Voter& one = first.emplace_back();
+          one.set_id(v.id);
+          one.set_at(v.at);
+        }
+        b.disk->bytes = fleet::all_bytes(fleet::Node::first_memory("test", i + 1, first));
+      }
+      start(i);
+    }
+  }
+
+  Seen run() {
+    for (now_ = 0; now_ < world_.ends * core::kMilli && seen_.broken.empty(); now_ += kStep) step();
+    if (seen_.broken.empty() && seen_.longest_gap_ms > 8000)
+      seen_.broken = "a job stood without an owner at the end";
+    return seen_;
+  }
+
+ private:
+  static std::string name(std::size_t i) { return "r" + std::to_string(i); }
+  static std::string at(std::size_t i) { return "10.0.0." + std::to_string(i + 1) + ":7000"; }
+  bool up(std::size_t i) const { return boxes_[i].agent != nullptr; }
+  bool awake(std::size_t i) const { return up(i) && now_ >= boxes_[i].paused_until; }
+
+  void start(std::size_t i) {
+    Box& b = boxes_[i];
+    b.settings.self.birth += 1000;
+    b.agent = std::make_unique<fleet::Agent>(b.settings, random_());
+    if (b.disk) {
+      b.disk->fails = false;
+      fleet::Memory memory;
+      std::size_t torn = 0;
+      const std::string why = fleet::read_journal(b.disk->bytes, memory, torn);
+      if (!why.empty()) return broken("a voter could not read its own file: " + why);
+      b.disk->bytes.resize(b.disk->bytes.size() - torn);
+      const std::string refused = b.agent->vote(std::move(memory), *b.disk);
+      if (!refused.empty()) return broken("a voter could not start: " + refused);
+    }
+    b.agent->start(b.local(now_));
+    flush(i);
+  }
+
+  void broken(const std::string& what) {
+    if (seen_.broken.empty()) seen_.broken = std::to_string(now_ / 1000) + " ms: " + what;
+  }
+
+  bool passes(std::size_t from, std::size_t to, Micros& delay) {
+    delay = 500 + std::uniform_int_distribution<Micros>(0, 2000)(random_);
+    for (const Fault& f : faults_) {
+      const Micros begin = f.at * core::kMilli, end = begin + f.length * core::kMilli;
+      if (now_ < begin || now_ >= end || now_ >= world_.faults_until * core::kMilli) continue;
+      const std::size_t who = f.who % world_.routers, whom = f.whom % world_.routers;
+      switch (f.kind) {
+        case Fault::Kind::cut_off:
+          if (from == who || to == who) return false;
+          break;
+        case Fault::Kind::cut_from:  // from the voters only
+          if ((from == who && to < world_.voters) || (to == who && from < world_.voters)) return false;
+          break;
+        case Fault::Kind::split:
+          if ((from <= who) != (to <= who)) return false;
+          break;
+        case Fault::Kind::one_way:
+          if (from == who && (f.whom % 3 == 0 || to == whom)) return false;
+          break;
+        case Fault::Kind::lossy:
+          if (random_() % 3 == 0) return false;
+          break;
+        case Fault::Kind::slow:
+          delay += std::uniform_int_distribution<Micros>(0, 800 * core::kMilli)(random_);
+          break;
+        case Fault::Kind::stuck:  // what it writes leaves the machine only then
+          if (from == who) delay += end - now_;
+          break;
+        default:
+          break;
+      }
+    }
+    return true;
+  }
+
+  void flush(std::size_t i) {
+    for (peers::Datagram& d : boxes_[i].agent->take()) {
+      for (std::size_t to = 0; to < boxes_.size(); ++to) {
+        if (at(to) != d.to) continue;
+        Micros delay = 0;
+        if (!passes(i, to, delay)) continue;
+        flying_.push_back({now_ + delay, i, to, d.bytes});
+        if (random_() % 50 == 0) flying_.push_back({now_ + 3 * delay, i, to, d.bytes});  // twice
+      }
+    }
+    for (const fleet::Agent::Word& w : boxes_[i].agent->words()) {
+      if (w.what != fleet::Agent::Word::What::effect) continue;
+      ++seen_.effects;
+      std::uint64_t& highest = boxes_[i].taken[w.job];
+      if (w.number < highest)
+        broken(name(i) + " took number " + std::to_string(w.number) + " of " + w.job + " after " +
+               std::to_string(highest));
+      highest = std::max(highest, w.number);
+    }
+    for (const fleet::Event& e : boxes_[i].agent->events()) {
+      seen_.refused += e.name == "effect_refused";
+      if (e.name != "job_granted") continue;
+      // Each voter applies each grant once in its life; a number never goes to two owners.
+      const std::string owner = e.fields[0].second + " " + e.fields[2].second;
+      const auto [it, fresh] = granted_.emplace(e.fields[1].second, owner);
+      if (!fresh && it->second != owner)
+        broken("number " + e.fields[1].second + " was granted as " + it->second + " and as " + owner);
+      seen_.grants += fresh;
+    }
+  }
+
+  void step() {
+    for (const Fault& f : faults_) {
+      if (f.at * core::kMilli < now_ || f.at * core::kMilli >= now_ + kStep || f.at >= world_.faults_until)
+        continue;
+      const std::size_t who = f.who % world_.routers;
+      const Micros until =
+          std::min<Micros>(now_ + f.length * core::kMilli, world_.faults_until * core::kMilli);
+      Box& b = boxes_[who];
+      if (f.kind == Fault::Kind::pause) b.paused_until = std::max(b.paused_until, until);
+      if (f.kind == Fault::Kind::crash && up(who)) {
+        b.agent.reset();
+        b.down_until = until;
+        b.paused_until = 0;
+        b.taken.clear();  // a process begins with nothing seen
+        if (b.disk && world_.disks_forget) b.disk->bytes.resize(b.disk->bytes.size() * 3 / 4);
+      }
+      if (f.kind == Fault::Kind::disk_fails && b.disk) b.disk->fails = true;
+      if (f.kind == Fault::Kind::move && awake(who)) {
+        // An operator at this router's voters: the packet that `fleet move` sends.
+        fleet::Packet p;
+        p.set_fleet("test");
+        p.set_from("operator");
+        p.mutable_request()->set_number(1);
+        p.mutable_request()->mutable_command()->mutable_move()->set_job("job" +
+                                                                        std::to_string(f.whom % world_.jobs));
+        p.mutable_request()->mutable_command()->mutable_move()->set_to(name(f.who % world_.routers));
+        for (std::size_t v = 0; v < world_.voters; ++v)
+          flying_.push_back({now_ + core::kMilli, v, v, p.SerializeAsString()});
+      }
+    }
+    for (std::size_t i = 0; i < boxes_.size(); ++i) {
+      // A halted voter's process is started again by whoever looks after it.
+      if (up(i) && boxes_[i].agent->node() != nullptr && boxes_[i].agent->node()->role() == "halted" &&
+          now_ >= world_.faults_until * core::kMilli) {
+        boxes_[i].agent.reset();
+        boxes_[i].down_until = now_;
+      }
+      if (!up(i) && now_ >= boxes_[i].down_until) start(i);
+    }
+    std::vector<Flying> due;
+    for (std::size_t k = 0; k < flying_.size();) {
+      const Flying& f = flying_[k];
+      // What comes while a process is stopped waits in its socket.
+      if (f.due > now_ || (up(f.to) && !awake(f.to))) {
+        ++k;
+        continue;
+      }
+      due.push_back(std::move(flying_[k]));
+      flying_[k] = std::move(flying_.back());
+      flying_.pop_back();
+    }
+    std::sort(due.begin(), due.end(), [](const Flying& a, const Flying& b) { return a.due < b.due; });
+    for (const Flying& f : due) {
+      if (!up(f.to)) continue;
+      Box& b = boxes_[f.to];
+      if (!world_.fenced) {
+        // Planted: a receiver without a fence, told apart by its own count of what it took.
+        fleet::Packet p;
+        if (p.ParseFromString(f.bytes) && p.has_effect()) {
+          std::uint64_t& highest = b.taken[p.effect().job()];
+          if (p.effect().number() < highest) broken("without a fence, an older number was taken");
+          highest = std::max(highest, p.effect().number());
+        }
+      }
+      b.agent->receive(b.local(now_), at(f.from), f.bytes);
+      flush(f.to);
+    }
+    for (std::size_t i = 0; i < boxes_.size(); ++i) {
+      if (!awake(i)) continue;
+      Box& b = boxes_[i];
+      if (b.local(now_) >= b.agent->next()) b.agent->tick(b.local(now_));
+      if (now_ >= b.next_effect) {
+        b.next_effect = now_ + 100 * core::kMilli;
+        for (unsigned j = 0; j < world_.jobs; ++j) {
+          fleet::Effect e;
+          e.set_job("job" + std::to_string(j));
+          b.agent->effect(b.local(now_), e, "");
+        }
+      }
+      flush(i);
+    }
+    // The rule of leases: whoever could act at this moment is the only one.
+    for (unsigned j = 0; j < world_.jobs; ++j) {
+      const std::string job = "job" + std::to_string(j);
+      std::string who;
+      for (std::size_t i = 0; i < boxes_.size(); ++i) {
+        if (!awake(i) || !boxes_[i].agent->proved(boxes_[i].local(now_), job)) continue;
+        if (!who.empty()) broken(job + " is proved at " + who + " and " + name(i));
+        who = name(i);
+      }
+      Micros& since = unowned_[job];
+      if (!who.empty()) since = now_;
+      const double gap = static_cast<double>(now_ - since) / 1000.0;
+      seen_.gap_ms = std::max(seen_.gap_ms, gap);
+      if (now_ > world_.faults_until * core::kMilli)
+        seen_.longest_gap_ms = std::max(
+            seen_.longest_gap_ms, std::min(gap, static_cast<double>(now_ / 1000 - world_.faults_until)));
+    }
+  }
+
+  World world_;
+  std::vector<Fault> faults_;
+  std::mt19937_64 random_;
+  std::deque<Box> boxes_;
+  std::vector<Flying> flying_;
+  std::map<std::string, std::string> granted_;
+  std::map<std::string, Micros> unowned_;
+  Micros now_ = 0;
+  Seen seen_;
+};
+
+}  // namespace
+
+Seen play(const World& world, const std::vector<Fault>& faults) { return Play(world, faults).run(); }
+
+}  // namespace flintglade::tests
--- /dev/null
+++ b/tests/fuzz/fleet.cpp
@@ -0,0 +1,39 @@
+// Whatever comes to a router's fleet port, from its own fleet, and whatever stands in a voter's file: no
+// crash, and tables that stay within their bounds. The fleet's name and the receiver are made to fit, so that
+// what is behind them is reached.
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include "fleet/agent.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  using namespace flintglade;
+  const std::string bytes(reinterpret_cast<const char*>(data), size);
+  fleet::Memory memory;
+  std::size_t torn = 0;
+  if (fleet::read_journal(bytes, memory, torn).empty() && torn > size) std::abort();
+
+  fleet::AgentSettings set;
+  set.peers.fleet = "f";
+  set.peers.most_peers = 16;
+  set.self = {"a", "north", "10.0.0.1:1", 1000};
+  set.voters = {{"b", 1, "10.0.0.2:1"}};
+  set.wanted = {{"job", ""}};
+  fleet::Agent agent(set, 1);
+  agent.start(0);
+  fleet::Packet p;
+  if (!p.ParseFromString(bytes)) return 0;
+  p.set_fleet("f");
+  p.clear_to();
+  // Twice, later, and by a tick between: what the first one has left is met by the second.
+  for (core::Micros now = 1000; now < 3 * core::kSecond; now += core::kSecond) {
+    agent.receive(now, "10.0.0.2:1", p.SerializeAsString());
+    agent.tick(now + 500'000);
+    agent.take();
+    agent.words();
+    agent.events();
+  }
+  if (agent.peers().others().size() > 16) std::abort();
+  return 0;
+}
