--- a/src/fleet/agent.h
+++ b/src/fleet/agent.h
@@ -58,6 +58,9 @@
   };
 
   Agent(AgentSettings settings, std::uint64_t seed);
+  ~Agent() { node_.reset(); }  // what it had under way is answered, and that needs the rest
+  Agent(const Agent&) = delete;
+  Agent& operator=(const Agent&) = delete;
   // This router votes: memory is what its storage holds. Before start.
   std::string vote(Memory memory, Storage& storage);
 
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -44,17 +44,22 @@
   e.set_data(from.buf.base, from.buf.len);
   return e;
 }
-// Each entry's bytes are a batch of their own, as the library frees them by batches.
-raft_entry* entries_of(const auto& from, std::size_t n) {
-  if (n == 0) return nullptr;
-  auto* out = static_cast<raft_entry*>(raft_calloc(n, sizeof(raft_entry)));
-  std::size_t i = 0;
+// All bytes in one batch, as the library frees them: of a message that it does not take, it frees the first
+// one's.
+raft_entry* entries_of(const auto& from) {
+  if (from.empty()) return nullptr;
+  auto* out =
+      static_cast<raft_entry*>(raft_calloc(static_cast<std::size_t>(from.size()), sizeof(raft_entry)));
+  std::string all;
+  for (const Entry& e : from) all += e.data();
+  char* batch = static_cast<char*>(copied(all));
+  std::size_t i = 0, at = 0;
   for (const Entry& e : from) {
-    if (i == n) break;
     out[i].term = e.term();
     out[i].type = static_cast<unsigned short>(e.type());
-    out[i].buf = {copied(e.data()), e.data().size()};
-    out[i].batch = out[i].buf.base;
+    out[i].buf = {batch + at, e.data().size()};
+    out[i].batch = batch;
+    at += e.data().size();
     ++i;
   }
   return out;
@@ -167,7 +172,7 @@
     }
     *start_index = m.first;
     *n = m.entries.size();
-    *entries = entries_of(m.entries, m.entries.size());
+    *entries = entries_of(m.entries);
     return 0;
   }
 
@@ -462,7 +467,7 @@
       m.append_entries.prev_log_index = in.previous_index();
       m.append_entries.prev_log_term = in.previous_term();
       m.append_entries.leader_commit = in.commit();
-      m.append_entries.entries = entries_of(in.entries(), static_cast<std::size_t>(in.entries_size()));
+      m.append_entries.entries = entries_of(in.entries());
       m.append_entries.n_entries = static_cast<unsigned>(in.entries_size());
       break;
     }
