Owners test: effects that arrive after the next owner's are refused, between processes

Case cuts: the owner is cut off from the voters and reaches the others 2.5 s late; the audit has to count refusals.

--- a/tests/fleet/owners_test.cpp
+++ b/tests/fleet/owners_test.cpp
@@ -310,9 +310,16 @@
     owner = 4;
   }
   const std::size_t o = static_cast<std::size_t>(owner);
+  // It still reaches all that take its effects, but what it writes comes late: after the next owner's.
   std::uint64_t number = fleet.number();
-  fleet.links.between({o}, {0, 1, 2}, cut);  // it still reaches all that take its effects
+  std::vector<std::size_t> hear;
+  for (std::size_t i = 3; i < fleet.size(); ++i) {
+    if (i != o) hear.push_back(i);
+  }
+  fleet.links.between({o}, hear, {false, 0, 0, 2500, 0}, false);
+  fleet.links.between({o}, {0, 1, 2}, cut);
   const int second = owned_again(number, {o});
+  CHECK(within(8000, [&] { return fleet.audit().refused() > 0; }));
   fleet.links.all({});
   number = fleet.number();
   // From those that take, not from the voters: the lease is kept, and they read for themselves.
