A job that is wanted at a dead router no longer bounces between the others

At fault: table.cpp, the grant kept the wish unless it went where wanted. Ruled out by the state that the simulated fleet now prints with a failure: voters halted, no leader, routers displaced. Change: any grant ends the wish.

--- a/src/fleet/table.cpp
+++ b/src/fleet/table.cpp
@@ -38,7 +38,8 @@
       job->set_number(table_.last_number());
       job->set_owner(g.owner());
       job->set_birth(g.birth());
-      if (job->wanted() == g.owner()) job->clear_wanted();
+      job->clear_wanted();  // also where it went elsewhere, since that router is gone: its owner would give
+                            // it up at once
       out.job = g.job();
       out.changed = true;
       break;
--- a/tests/fleet/sim.cpp
+++ b/tests/fleet/sim.cpp
@@ -73,11 +73,25 @@
   Seen run() {
     for (now_ = 0; now_ < world_.ends * core::kMilli && seen_.broken.empty(); now_ += kStep) step();
     if (seen_.broken.empty() && seen_.longest_gap_ms > 8000)
-      seen_.broken = "a job stood without an owner at the end";
+      seen_.broken = "a job stood without an owner at the end" + state();
     return seen_;
   }
 
  private:
+  std::string state() const {
+    std::string out;
+    for (std::size_t i = 0; i < boxes_.size(); ++i) {
+      if (!up(i)) continue;
+      const fleet::Status s = boxes_[i].agent->status(boxes_[i].local(now_));
+      out += "\n" + name(i) + " " + s.role() + " term " + std::to_string(s.term()) + " applied " +
+             std::to_string(s.index()) + " of " + std::to_string(s.last_index()) + " leader " +
+             s.leader_at() + (s.displaced() ? " displaced" : "") + s.why_halted();
+      for (const fleet::Job& j : s.table().jobs())
+        out += " " + j.name() + "=" + std::to_string(j.number()) + ":" + j.owner() + ":" + j.wanted();
+      for (const fleet::Held& h : s.held()) out += " holds " + h.job();
+    }
+    return out;
+  }
   static std::string name(std::size_t i) { return "r" + std::to_string(i); }
   static std::string at(std::size_t i) { return "10.0.0." + std::to_string(i + 1) + ":7000"; }
   bool up(std::size_t i) const { return boxes_[i].agent != nullptr; }
