--- a/src/fleet/agent.cpp
+++ b/src/fleet/agent.cpp
@@ -174,7 +174,7 @@
   if (node_ && node_->leads()) {
     goes_in(now, command);
     node_->propose(now, command, [this, sent = now, what](bool done, const std::string&, const Applied& a) {
-      if (done && what == "renew") renewed(now_, sent, a.renewed);
+      if (done && what == "renew") tenure_.renewed(sent, a.renewed);
     });
     return;
   }
@@ -192,8 +192,6 @@
   send(at, p);
 }
 
-void Agent::renewed(Micros, Micros sent, const std::vector<Held>& held) { tenure_.renewed(sent, held); }
-
 void Agent::answered(Micros now, const Reply& reply) {
   const auto it = asked_.find(reply.number());
   if (it == asked_.end()) return;
@@ -206,7 +204,7 @@
   asked_.erase(it);
   heard_voter_ = now;
   if (asked.what == "renew")
-    renewed(now, asked.sent, std::vector<Held>(reply.held().begin(), reply.held().end()));
+    tenure_.renewed(asked.sent, std::vector<Held>(reply.held().begin(), reply.held().end()));
 }
 
 void Agent::answer(Micros now, const std::string& to, const Request& request) {
@@ -443,19 +441,8 @@
   *s.mutable_table() = table();
   for (const Voter& v : voters_) *s.add_voters() = v;
   for (const Held& h : tenure_.held(now)) *s.add_held() = h;
-  const auto add = [&s](const peers::Peer& p) {
-    peers::Peer copy = p;
-    fleet::Word& w = *s.add_routers();
-    w.set_name(copy.name);
-    w.set_site(copy.site);
-    w.set_at(copy.at);
-    w.set_birth(copy.birth);
-    w.set_incarnation(copy.incarnation);
-    w.set_standing(copy.standing);
-    w.set_version(copy.version);
-  };
-  add(swim_.self());
-  for (const auto& [name, p] : swim_.others()) add(p);
+  *s.add_routers() = peers::word_of(swim_.self());
+  for (const auto& [name, p] : swim_.others()) *s.add_routers() = peers::word_of(p);
   s.set_health(swim_.health());
   s.set_record_age_ms(heard_voter_ < 0 ? UINT64_MAX
                                        : static_cast<std::uint64_t>((now - heard_voter_) / 1000));
--- a/src/fleet/agent.h
+++ b/src/fleet/agent.h
@@ -103,7 +103,6 @@
   void goes_in(Micros now, const Command& command);
   void answer(Micros now, const std::string& to, const Request& request);
   void answered(Micros now, const Reply& reply);
-  void renewed(Micros now, Micros sent, const std::vector<Held>& held);
   void take_record(Micros now, const Record& record);
   Record record(std::uint64_t known) const;
   void push(const std::string& router);
--- a/src/fleet/member.cpp
+++ b/src/fleet/member.cpp
@@ -40,7 +40,6 @@
 }
 
 void write(const Event& e) {
-  std::string line;
   std::vector<log::Field> fields;
   for (const auto& [key, value] : e.fields) fields.emplace_back(key, value);
   log::event(e.warning ? Level::warn : Level::info, e.name, fields);
--- a/src/peers/swim.cpp
+++ b/src/peers/swim.cpp
@@ -19,6 +19,16 @@
 
 int worse(Standing s) { return static_cast<int>(s); }
 
+// Whether a word says something newer than what is known.
+bool newer(const fleet::Word& w, const Peer& than) {
+  if (w.birth() != than.birth) return w.birth() > than.birth;
+  // Who has left or is dead in this life comes back by a new incarnation or a new life only.
+  if (w.incarnation() != than.incarnation) return w.incarnation() > than.incarnation;
+  return worse(w.standing()) > worse(than.standing);
+}
+
+}  // namespace
+
 fleet::Word word_of(const Peer& p) {
   fleet::Word w;
   w.set_name(p.name);
@@ -31,16 +41,6 @@
   return w;
 }
 
-// Whether a word says something newer than what is known.
-bool newer(const fleet::Word& w, const Peer& than) {
-  if (w.birth() != than.birth) return w.birth() > than.birth;
-  // Who has left or is dead in this life comes back by a new incarnation or a new life only.
-  if (w.incarnation() != than.incarnation) return w.incarnation() > than.incarnation;
-  return worse(w.standing()) > worse(than.standing);
-}
-
-}  // namespace
-
 Swim::Swim(Settings settings, Self self, std::uint64_t seed)
     : set_(std::move(settings)), self_(std::move(self)), random_(seed) {}
 
--- a/src/peers/swim.h
+++ b/src/peers/swim.h
@@ -55,6 +55,8 @@
   bool operator==(const Peer&) const = default;
 };
 
+fleet::Word word_of(const Peer& p);  // what is said of it
+
 struct Datagram {
   std::string to, bytes;
 };
--- a/tests/fleet/owners_test.cpp
+++ b/tests/fleet/owners_test.cpp
@@ -169,11 +169,6 @@
     }
     return found;
   }
-  std::size_t count(const std::string& mark) const {
-    std::size_t n = 0;
-    for (std::size_t i = 0; i < routers_.size(); ++i) n += runs(i) && log(i).find(mark) != std::string::npos;
-    return n;
-  }
   std::size_t reads_as(const std::string& state) const {
     std::size_t n = 0;
     for (std::size_t i = 0; i < routers_.size(); ++i) {
