Reread: one maker of fleet packets, one end of a voters' change, no strings for a voter's state

Agent and Swim each made the same addressed packet (agent.cpp, swim.cpp); Node::change had the end of a change twice; whether a voter is halted was asked by comparing the text of its role at each packet; a request kept a name that nobody read.

--- a/src/fleet/agent.cpp
+++ b/src/fleet/agent.cpp
@@ -32,7 +32,7 @@
   node_ = std::make_unique<Node>(
       set_.self.at, std::move(memory), storage, set_.node, random_(),
       [this](const std::string& at, const Raft& message) {
-        Packet p = packet();
+        Packet p = swim_.packet("");
         *p.mutable_raft() = message;
         send(at, p);
       },
@@ -68,7 +68,7 @@
 Micros Agent::next() const {
   Micros at = std::min(swim_.next(), tenure_.next());
   if (node_) at = std::min({at, node_->next(), registrar_.next()});
-  if (!node_ || node_->role() == "halted") at = std::min(at, next_read_);
+  if (!votes()) at = std::min(at, next_read_);
   return at;
 }
 
@@ -91,7 +91,7 @@
     event("displaced", {{"name", set_.self.name}, {"by", "a process of this name that began later"}}, true);
     tenure_.record({}, 0);
   }
-  if (node_ && node_->role() == "halted" && !halted_told_) {
+  if (node_ && node_->halted() && !halted_told_) {
     halted_told_ = true;
     event("voter_halted", {{"why", node_->why_halted()}, {"votes", "no more, until the next start"}}, true);
   }
@@ -113,7 +113,7 @@
     for (const Command& c : registrar_.decide(now, node_->jobs(), swim_.living()))
       node_->propose(now, c, [](bool, const std::string&, const Applied&) {});
   }
-  if (node_ && node_->role() != "halted") {
+  if (votes()) {
     heard_voter_ = now;
     leader_at_ = node_->leader_at();
     voters_ = node_->voters().empty() ? voters_ : node_->voters();
@@ -127,12 +127,12 @@
     event("fleet_unled", {{"jobs", "rest"}, {"routers", "each do for themselves"}}, true);
   }
   if (displaced_) return;
-  if ((!node_ || node_->role() == "halted") && now >= next_read_ && !voters_.empty() && leaving_ < 0) {
+  if ((!votes()) && now >= next_read_ && !voters_.empty() && leaving_ < 0) {
     next_read_ =
         now + set_.read_every / 2 + std::uniform_int_distribution<Micros>(0, set_.read_every)(random_);
     // The leader's word is kept for as long as it answers.
     if (heard_voter_ >= 0 && now - heard_voter_ > 3 * set_.read_every) leader_at_.clear();
-    Packet p = packet();
+    Packet p = swim_.packet("");
     p.mutable_read()->set_revision(table_.revision());
     send(voter_at(now), p);
   }
@@ -140,12 +140,12 @@
   for (const Release& r : tenure_.releases(now)) {
     Command c;
     *c.mutable_release() = r;
-    ask(now, c, "release", r.job());
+    ask(now, c);
   }
   if (const auto renew = tenure_.renewal(now)) {
     Command c;
     *c.mutable_renew() = *renew;
-    ask(now, c, "renew", "");
+    ask(now, c);
   }
   for (const Tenure::Change& c : tenure_.changes(now)) {
     event(c.starts ? "job_starts" : "job_stops",
@@ -170,20 +170,22 @@
   return "";
 }
 
-void Agent::ask(Micros now, const Command& command, const std::string& what, const std::string& job) {
+void Agent::ask(Micros now, const Command& command) {
   if (node_ && node_->leads()) {
     goes_in(now, command);
-    node_->propose(now, command, [this, sent = now, what](bool done, const std::string&, const Applied& a) {
-      if (done && what == "renew") tenure_.renewed(sent, a.renewed);
-    });
+    node_->propose(
+        now, command,
+        [this, sent = now, renew = command.has_renew()](bool done, const std::string&, const Applied& a) {
+          if (done && renew) tenure_.renewed(sent, a.renewed);
+        });
     return;
   }
   const std::string at = voter_at(now);
   if (at.empty() || asked_.size() >= kMostAsked) return;
-  Packet p = packet();
+  Packet p = swim_.packet("");
   p.mutable_request()->set_number(++numbers_);
   *p.mutable_request()->mutable_command() = command;
-  asked_[numbers_] = {now, what, job};
+  asked_[numbers_] = {now, command.has_renew()};
   // One that does not answer is not asked for ever.
   for (const auto& [number, a] : asked_) {
     if (number != numbers_ && now - a.sent > set_.ask_again && now - a.sent < 4 * set_.ask_again && !node_)
@@ -196,21 +198,19 @@
   const auto it = asked_.find(reply.number());
   if (it == asked_.end()) return;
   const Asked asked = it->second;
+  asked_.erase(it);
   if (!reply.done()) {
-    asked_.erase(it);
     if (!node_) leader_at_ = reply.leader_at();
     return;
   }
-  asked_.erase(it);
   heard_voter_ = now;
-  if (asked.what == "renew")
-    tenure_.renewed(asked.sent, std::vector<Held>(reply.held().begin(), reply.held().end()));
+  if (asked.renew) tenure_.renewed(asked.sent, std::vector<Held>(reply.held().begin(), reply.held().end()));
 }
 
 void Agent::answer(Micros now, const std::string& to, const Request& request) {
   const auto reply = [this, to, number = request.number()](bool done, const std::string& why,
                                                            const Applied& applied) {
-    Packet p = packet();
+    Packet p = swim_.packet("");
     Reply& r = *p.mutable_reply();
     r.set_number(number);
     r.set_done(done);
@@ -262,13 +262,13 @@
   if (router == set_.self.name) return;
   const auto it = swim_.others().find(router);
   if (it == swim_.others().end()) return;
-  Packet p = packet(router);
+  Packet p = swim_.packet(router);
   *p.mutable_record() = record(0);
   send(it->second.at, p);
 }
 
 void Agent::take_record(Micros now, const Record& r) {
-  if (node_ && node_->role() != "halted") return;  // a voter has its own
+  if (votes()) return;  // a voter has its own
   heard_voter_ = now;
   leader_at_ = r.leader_at();
   if (r.voters_size() > 0) voters_.assign(r.voters().begin(), r.voters().end());
@@ -277,16 +277,6 @@
 
 // ---- datagrams
 
-Packet Agent::packet(const std::string& to) const {
-  Packet p;
-  p.set_fleet(set_.peers.fleet);
-  p.set_version(peers::kVersion);
-  p.set_from(set_.self.name);
-  p.set_birth(swim_.self().birth);
-  p.set_to(to);
-  return p;
-}
-
 void Agent::send(const std::string& at, const Packet& p) {
   if (!at.empty()) out_.push_back({at, p.SerializeAsString()});
 }
@@ -306,7 +296,7 @@
                     (p.fleet() == set_.peers.fleet || (p.has_query() && p.fleet().empty())) &&
                     (p.to().empty() || p.to() == set_.self.name);
   if (ours && p.has_query()) {
-    Packet answer = packet();
+    Packet answer = swim_.packet("");
     *answer.mutable_status() = status(now);
     return send(from, answer);
   }
@@ -326,8 +316,8 @@
       answered(now, p.reply());
       break;
     case Packet::kRead: {
-      if (!node_ || node_->role() == "halted") break;
-      Packet back = packet(p.from());
+      if (!votes()) break;
+      Packet back = swim_.packet(p.from());
       *back.mutable_record() = record(p.read().revision());
       send(from, back);
       break;
@@ -376,7 +366,7 @@
   fence_.admit(effect.job(), effect.number());
   ++effects_sent_;
   if (!to.empty()) {
-    Packet p = packet();
+    Packet p = swim_.packet("");
     *p.mutable_effect() = effect;
     send(to, p);
     return true;
@@ -384,7 +374,7 @@
   for (const auto& [name, peer] : swim_.others()) {
     if (peer.standing == fleet::DEAD || peer.standing == fleet::LEFT) continue;
     if (!site.empty() && peer.site != site) continue;
-    Packet p = packet(name);
+    Packet p = swim_.packet(name);
     *p.mutable_effect() = effect;
     send(peer.at, p);
   }
@@ -396,7 +386,7 @@
     if (j.name() != job || j.owner().empty()) continue;
     const auto it = swim_.others().find(j.owner());
     if (it == swim_.others().end()) return;
-    Packet p = packet(j.owner());
+    Packet p = swim_.packet(j.owner());
     p.mutable_want()->set_job(job);
     p.mutable_want()->set_rev(rev);
     return send(it->second.at, p);
--- a/src/fleet/agent.h
+++ b/src/fleet/agent.h
@@ -85,7 +85,7 @@
 
   const peers::Swim& peers() const { return swim_; }
   const Node* node() const { return node_.get(); }
-  const Table& table() const { return node_ && node_->role() != "halted" ? node_->jobs().table() : table_; }
+  const Table& table() const { return votes() ? node_->jobs().table() : table_; }
   const Fence& fence() const { return fence_; }
   bool proved(Micros now, const std::string& job) const { return tenure_.proved(now, job); }
   Status status(Micros now) const;
@@ -93,13 +93,12 @@
  private:
   struct Asked {
     Micros sent = 0;
-    std::string what;  // renew, release, of an operator: empty
-    std::string job;
+    bool renew = false;
   };
-  Packet packet(const std::string& to = "") const;
+  bool votes() const { return node_ && !node_->halted(); }
   void send(const std::string& at, const Packet& p);
   void settle(Micros now);  // after each turn: leadership, grants, leases
-  void ask(Micros now, const Command& command, const std::string& what, const std::string& job);
+  void ask(Micros now, const Command& command);
   void goes_in(Micros now, const Command& command);
   void answer(Micros now, const std::string& to, const Request& request);
   void answered(Micros now, const Reply& reply);
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -353,7 +353,7 @@
   if (changing_) return done(false, "another change of voters is under way", {});
   changing_ = std::make_unique<Changing>(Changing{{}, this, std::move(done), change.id()});
   changing_->request.data = changing_.get();
-  const auto ended = [](raft_change* req, int status) {
+  static constexpr raft_change_cb ended = [](raft_change* req, int status) {
     Node& node = *static_cast<Changing*>(req->data)->node;
     const std::unique_ptr<Changing> own = std::move(node.changing_);
     own->done(status == 0, status == 0 ? "" : raft_strerror(status), {});
@@ -364,13 +364,8 @@
                   [](raft_change* req, int status) {
                     auto* c = static_cast<Changing*>(req->data);
                     Node& node = *c->node;
-                    const auto voted = [](raft_change* again, int result) {
-                      Node& n = *static_cast<Changing*>(again->data)->node;
-                      const std::unique_ptr<Changing> own = std::move(n.changing_);
-                      own->done(result == 0, result == 0 ? "" : raft_strerror(result), {});
-                    };
-                    if (status == 0) status = raft_assign(&node.raft_, req, c->id, RAFT_VOTER, voted);
-                    if (status != 0) voted(req, status);
+                    if (status == 0) status = raft_assign(&node.raft_, req, c->id, RAFT_VOTER, ended);
+                    if (status != 0) ended(req, status);
                   });
   } else {
     rc = raft_remove(&raft_, &changing_->request, change.id(), ended);
--- a/src/fleet/node.h
+++ b/src/fleet/node.h
@@ -53,6 +53,7 @@
   void change(Micros now, const VoterChange& change, Done done);
 
   bool leads() const;
+  bool halted() const { return !halted_.empty(); }
   std::string role() const;  // leader, candidate, follower, halted
   const std::string& why_halted() const { return halted_; }
   std::string leader_at() const;  // empty: none is known
--- a/src/peers/swim.h
+++ b/src/peers/swim.h
@@ -79,8 +79,9 @@
   // Says good-bye to some others, who pass it on. Nothing is sent or answered from then on.
   void leave(Micros now);
 
-  std::vector<Datagram> take();  // to be sent
-  std::vector<Peer> changed();   // of others: whose standing, birth or address is another since the last call
+  fleet::Packet packet(const std::string& to_name) const;  // addressed, of this fleet, with nothing in it
+  std::vector<Datagram> take();                            // to be sent
+  std::vector<Peer> changed();  // of others: whose standing, birth or address is another since the last call
 
   // Another living process has this router's name and a later birth: this one takes no part any more.
   bool displaced() const { return displaced_; }
@@ -118,7 +119,6 @@
     Micros nack_at = 0;
   };
 
-  fleet::Packet packet(const std::string& to_name) const;
   void send(const std::string& at, fleet::Packet&& p, const std::string& about = "");
   void add_words(fleet::Packet& p, const std::string& about);
   void send_all(const std::string& at, const std::string& name, bool answer);
