--- a/src/commands/fleet.cpp
+++ b/src/commands/fleet.cpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <iterator>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "commands/commands.h"
@@ -27,6 +28,10 @@
 constexpr int kTries = 4;
 constexpr std::chrono::milliseconds kWait{700};
 constexpr std::chrono::seconds kChange{10};  // a voter that is added catches up first
+// While nobody leads: an election takes a second or two, and what was refused for want of a leader is not
+// done.
+constexpr int kElectionTries = 12;
+constexpr std::chrono::milliseconds kElectionWait{500};
 
 // One question, one answer; asked again where none comes. False: none came.
 class Line {
@@ -82,21 +87,28 @@
   std::string why = status(at, now);
   if (!why.empty()) return why;
   std::string to = now.status().leader_at().empty() ? at : now.status().leader_at();
-  for (int i = 0; i < kTries; ++i) {
+  int elections = 0;
+  for (int i = 0; i < kTries;) {
     Line line(to);
     fleet::Packet question, answer;
     question.set_fleet(now.fleet());
     question.set_from("operator");
-    what.set_number(static_cast<std::uint64_t>(i) + 1);
+    what.set_number(static_cast<std::uint64_t>(i + elections) + 1);
     *question.mutable_request() = what;
     if (!line.good() || !line.ask(question, answer, 1, wait)) {
       why = "no answer from " + to;
+      ++i;
       continue;
     }
     if (answer.reply().done()) return "";
     why = answer.reply().why();
+    if (answer.reply().leader_at().empty() && elections++ < kElectionTries) {
+      std::this_thread::sleep_for(kElectionWait);
+      continue;
+    }
     if (answer.reply().leader_at().empty() || answer.reply().leader_at() == to) return why;
     to = answer.reply().leader_at();
+    ++i;
   }
   return why;
 }
