--- a/include/pipitcleat/balancer.h
+++ b/include/pipitcleat/balancer.h
@@ -104,6 +104,9 @@
   std::vector<Worker> workers;
 };
 
+// Whether a request is within its tenant's quota, where somebody knows better than this router alone.
+enum class Budget : std::uint8_t { unknown = 0, within = 1, over = 2 };
+
 struct Query {
   RequestId id = 0;
   std::uint32_t klass = 0;
@@ -118,6 +121,7 @@
   bool is_retry = false;
   bool is_write = false;
   bool resumed = false;
+  Budget budget = Budget::unknown;
 };
 
 struct Accepted {
@@ -174,6 +178,10 @@
   void on_wake(double now, std::uint64_t cookie, ActionSink& sink);
   void on_pong(double now, const Pong& pong, ActionSink& sink);
   void on_peer(double now, std::uint32_t from, std::string_view bytes, ActionSink& sink);
+  // Others have seen this worker fail. It is passed over for so long, at the most 10 s, or until it serves
+  // one of this router's requests; like one that could not be reached it is picked where nothing else is
+  // left.
+  void on_warning(double now, WorkerId worker, double span);
   // How many of the ready workers it now passes over: out of reach, full, or trusted with less than half of
   // their keys for how they answer. A cold one is not passed over. For whoever watches; changes nothing.
   std::size_t avoided(double now) const;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -414,6 +414,13 @@
     if (++z.down >= kZoneRow) z.down_until = pass_over(z.down);
     stale_ = true;
   }
+  void on_warning(double now, WorkerId id, double span) {
+    const auto it = index_.find(id);
+    if (it == index_.end()) return;
+    Replica& r = replicas_[it->second];
+    r.down_until = std::max(r.down_until, now + sane(span, 0.0, 10.0));
+    stale_ = true;
+  }
   void reached(int index) {
     replicas_[index].down_until = replicas_[index].down = 0;
     past_.zones[replicas_[index].worker.zone] = {};
@@ -553,7 +560,8 @@
     past_.raw_mean = past_.raw_mean == 0.0 ? raw : past_.raw_mean + 0.02 * (raw - past_.raw_mean);
     q.work = std::clamp(raw / past_.raw_mean, 0.1, 10.0);
     if (!q.query.is_retry) past_.arrived.add(now_, memory_, q.work);
-    if (q.query.tenant >= set_.tenants.size()) return;
+    q.excess = q.query.budget == Budget::over;
+    if (q.query.tenant >= set_.tenants.size() || q.query.budget != Budget::unknown) return;
     const double quota = set_.tenants[q.query.tenant].quota_per_s / set_.balancers;
     if (!(quota > 0.0)) return;
     double &tokens = past_.quota_tokens[q.query.tenant], &at = past_.quota_at[q.query.tenant];
@@ -646,11 +654,9 @@
 
   // The next step of a request that is neither over nor bound: an attempt, a wait, or the final answer.
   void advance(Request& q) {
-    if (now_ >= q.query.deadline || !may_send(q)) return any_out(q) ? void() : answer(q);
-    if (!q.tries.empty()) {
-      // Further attempts come out of a budget: in a storm of failures they would be the larger part of it.
-      if (past_.saved_retries < 1.0) return any_out(q) ? void() : answer(q);
-    }
+    // Further attempts come out of a budget: in a storm of failures they would be the larger part of it.
+    const bool spent = !q.tries.empty() && past_.saved_retries < 1.0;
+    if (now_ >= q.query.deadline || !may_send(q) || spent) return any_out(q) ? void() : answer(q);
     const int index = pick(q);
     if (index >= 0) {
       if (!q.tries.empty()) past_.saved_retries -= 1.0;
@@ -666,11 +672,10 @@
                      q.query.id | kHoldAlarm << kCookieShift);
   }
   bool tried_all(const Request& q) const {
-    if (q.tries.empty()) return false;
-    for (int i = 0; i < static_cast<int>(replicas_.size()); ++i) {
+    for (int i = 0; !q.tries.empty() && i < static_cast<int>(replicas_.size()); ++i) {
       if (may_go_to(q, i)) return false;
     }
-    return true;
+    return !q.tries.empty();
   }
   // A client is never kept until near its deadline on the mere hope of a replica.
   double hold_until(const Request& q) const {
@@ -683,11 +688,7 @@
   void send(Request& q, int index) {
     cold_budget(q, index, true);
     change_stays(index, [](Stay& s) { s.sends += 1.0, s.out += 1.0; });
-    Try t;
-    t.replica = index;
-    t.sent = now_;
-    t.work = q.work;
-    q.tries.push_back(t);
+    q.tries.push_back(Try{index, now_, q.work});
     const double left = q.query.deadline - now_;
     const bool alone = !set_.may_duplicate || klass(q).semantics == Semantics::unsafe;
     double allow = 0.0;
@@ -826,7 +827,8 @@
         }
         break;
       case Outcome::error:
-        judge(t->replica, 0.0, 0.35);
+      case Outcome::reset:
+        judge(t->replica, 0.0, r.outcome == Outcome::error ? 0.35 : 0.8);
         break;
       case Outcome::timeout:
         if (now_ < q->query.deadline) past_.saved_hedges -= 1.0;  // what follows stands for a second copy
@@ -835,9 +837,6 @@
       case Outcome::connect_failed:  // it never ran: nothing is known of how it serves
         unreachable(t->replica);
         break;
-      case Outcome::reset:
-        judge(t->replica, 0.0, 0.8);
-        break;
       case Outcome::full:  // no failure of the replica: it never ran it
         replicas_[t->replica].full_until = now_ + kFullFor;
         break;
@@ -917,6 +916,7 @@
 void Balancer::on_pong(double now, const Pong&, ActionSink& s) { impl_->begin(now, s); }
 Learned Balancer::learned() const { return impl_->learned(); }
 void Balancer::adopt(double now, Learned l, ActionSink& s) { impl_->begin(now, s).adopt(std::move(l)); }
+void Balancer::on_warning(double t, WorkerId id, double span) { impl_->on_warning(t, id, span); }
 std::size_t Balancer::avoided(double now) const { return impl_->avoided(now); }
 void Balancer::on_peer(double now, std::uint32_t, std::string_view, ActionSink& s) { impl_->begin(now, s); }
 
--- a/src/commands/commands.h
+++ b/src/commands/commands.h
@@ -33,6 +33,7 @@
 int fleet_voters(const FleetOptions& options);
 int fleet_move(const FleetOptions& options);
 int fleet_init(const FleetOptions& options);
+int shared_show(const FleetOptions& options);  // docs/shared.md
 int fleet_audit(const std::vector<std::string>& logs);
 int resolve(const std::string& operator_file, double wait_s);
 
--- a/src/commands/fellow.cpp
+++ b/src/commands/fellow.cpp
@@ -42,6 +42,7 @@
     if (a.self.at.empty()) a.self.at = v.at();
   }
   for (const std::string& site : file.list_readers()) a.wanted.push_back({job_of(site), site});
+  if (!file.shared().budgets().empty()) a.wanted.push_back({shared::kBankJob, ""});
   config::parse_host_port(file.listen(), out.listen);
   out.directory = file.directory();
   out.seed = config.seed;
@@ -57,8 +58,11 @@
       watch_(watch),
       job_(job_of(file.site())),
       site_(file.site()),
+      set_(settings(file, config)),
+      shares_(file.has_shared() ? std::make_unique<Shares>(io, clock, file, config, set_.agent.self)
+                                : nullptr),
       alarm_(io),
-      member_(settings(file, config),
+      member_((set_.companion = shares_ ? shares_->companion() : nullptr, set_),
               [this](const fleet::Agent::Word& w) { boost::asio::post(io_, [this, w] { take(w); }); }) {
   if (std::find(file.list_readers().begin(), file.list_readers().end(), site_) == file.list_readers().end())
     return;
@@ -88,9 +92,13 @@
 
 core::ReplicaList& Fellow::list() { return shared_ ? static_cast<core::ReplicaList&>(*shared_) : watch_; }
 
-void Fellow::start() {
+void Fellow::start(core::Broker& core) {
   if (shared_) shared_->holds(watch_.version());
+  if (shares_) shares_->restore();
   member_.start();
+  if (!shares_) return;
+  shares_->start(member_, core);
+  core.share(shares_.get());
 }
 
 void Fellow::moved(const config::HostPort& discovery) {
@@ -99,6 +107,7 @@
 }
 
 void Fellow::leave() {
+  if (shares_) shares_->leave();
   member_.leave([] {});
 }
 
@@ -116,6 +125,8 @@
     case What::want:
       shared_->wanted(w.rev, w.from);
       break;
+    case What::share:  // its companion's
+      break;
   }
   arm();
 }
--- a/src/commands/fellow.h
+++ b/src/commands/fellow.h
@@ -4,9 +4,11 @@
 
 #include <boost/asio.hpp>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
+#include "commands/shares.h"
 #include "config/config.h"
 #include "discovery/watch.h"
 #include "fleet/member.h"
@@ -23,7 +25,8 @@
 
   // What the core asks for its list: the watch, or what one router of the site reads for all.
   core::ReplicaList& list();
-  void start();
+  // core: budgets are asked there, and what is heard of replicas is told there.
+  void start(core::Broker& core);
   void moved(const config::HostPort& discovery);
   // Gives up this router's jobs and says good-bye. It takes half a second at the most, on the member's
   // thread; the core goes on meanwhile.
@@ -38,6 +41,8 @@
   discovery::Watch& watch_;
   const std::string job_, site_;
   std::optional<fleet::SharedList> shared_;
+  fleet::Member::Settings set_;
+  std::unique_ptr<Shares> shares_;
   boost::asio::steady_timer alarm_;
   fleet::Member member_;  // last: its thread ends before what it posts to
 };
--- a/src/commands/fleet.cpp
+++ b/src/commands/fleet.cpp
@@ -177,6 +177,39 @@
   });
 }
 
+int shared_show(const FleetOptions& options) {
+  return show(options, [](const fleet::Status& s) {
+    const auto thousandths = [](std::int64_t n) { return static_cast<double>(n) / 1000.0; };
+    const auto seconds = [](std::int64_t us) { return static_cast<double>(us) / 1e6; };
+    std::printf("router %s%s%s%s\n", s.name().c_str(), s.site().empty() ? "" : " of ", s.site().c_str(),
+                s.shared().bank() ? ", the bank" : "");
+    std::printf("%-20s %10s %10s %10s %10s %10s %10s %10s %10s\n", "BUDGET", "HELD", "OWN", "SPENT",
+                "REFUSED", "A SECOND", "EXPIRED", "LENT", "LAST PART");
+    for (const auto& b : s.shared().budgets()) {
+      std::printf("%-20s %10.1f %10.1f %10.1f %10.1f %10.1f %10.1f %10.1f ", b.name().c_str(),
+                  thousandths(b.held()), thousandths(b.own()), thousandths(b.spent()),
+                  thousandths(b.refused()), thousandths(b.demand()), thousandths(b.expired()),
+                  thousandths(b.lent()));
+      b.age_us() < 0 ? std::printf("%10s\n", "never") : std::printf("%9.1fs\n", seconds(b.age_us()));
+    }
+    std::printf("%-16s %-12s %-16s %10s %10s %10s %10s %12s %8s\n", "TEAM", "CLASS", "SITE", "SERVED",
+                "AT MOST", "REFUSED", "FAILED", "TOKENS", "AGE");
+    for (const auto& t : s.shared().totals())
+      std::printf("%-16s %-12s %-16s %10llu %10llu %10llu %10llu %12llu %7.1fs\n", t.team().c_str(),
+                  t.klass().c_str(), t.site().c_str(), static_cast<unsigned long long>(t.served()),
+                  static_cast<unsigned long long>(t.most()), static_cast<unsigned long long>(t.refused()),
+                  static_cast<unsigned long long>(t.failed()), static_cast<unsigned long long>(t.tokens()),
+                  seconds(t.age_us()));
+    if (s.shared().rows_dropped() > 0)
+      std::printf("%llu rows had no room: the totals lack them\n",
+                  static_cast<unsigned long long>(s.shared().rows_dropped()));
+    std::printf("%-18s %5s %5s %5s %8s %s\n", "REPLICA", "BAD", "GOOD", "SITES", "AGE", "");
+    for (const auto& h : s.shared().heard())
+      std::printf("%016llx   %5u %5u %5u %7.1fs %s\n", static_cast<unsigned long long>(h.replica()), h.bad(),
+                  h.good(), h.sites(), seconds(h.age_us()), h.avoided() ? "avoided" : "");
+  });
+}
+
 int fleet_jobs(const FleetOptions& options) { return show(options, print_jobs); }
 
 int fleet_voters(const FleetOptions& options) {
--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -411,7 +411,7 @@
   };
   tell_unready(kFirstUnready);
   if (succession) succession->start();
-  if (fellow) fellow->start();
+  if (fellow) fellow->start(broker);
   std::function<void(boost::system::error_code, int)> on_signal = [&](boost::system::error_code ec,
                                                                       int signal) {
     if (ec) return;
--- /dev/null
+++ b/src/commands/shares.h
@@ -0,0 +1,72 @@
+// What this router shares with its fleet, between the core's thread and the member's: the wallet, the counts
+// and the witness are the core's, shared::Commons is the member's, and what goes between them is posted.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "config/config.h"
+#include "core/broker.h"
+#include "fleet/member.h"
+#include "operator.pb.h"
+#include "shared/commons.h"
+#include "shared/wallet.h"
+
+namespace flintglade::commands {
+
+using core::Micros;
+
+class Shares final : public core::Sharing {
+ public:
+  // self: as the member tells the others. member, core and log are borrowed and outlive it.
+  Shares(boost::asio::io_context& io, core::Clock& clock, const deploy::Fleet& file,
+         const config::Config& config, const peers::Self& self);
+  fleet::Companion* companion() { return commons_.get(); }
+  void restore();  // what a process before this one has left; before the member starts
+  void start(fleet::Member& member, core::Broker& core);
+  void leave();  // what is left of parts of stocks goes back, and the counts are told once more
+
+  Word arrived(Micros now, const core::RpcRequest& rpc) override;
+  void answered(const core::RpcRequest& rpc, End how) override;
+  void first_event(Micros now, core::ReplicaId replica) override { witness_.first_event(now, replica); }
+  void call_ended(Micros now, core::ReplicaId replica, pipitcleat::Outcome outcome) override {
+    witness_.call_ended(now, replica, outcome);
+  }
+  // Which budgets of the file are of no tenant that the settings name.
+  const std::vector<std::string>& unknown_teams() const { return unknown_; }
+
+ private:
+  void look();
+  // Parts run out while the machine sleeps, too.
+  Micros wallet_time(Micros now) const { return now + slept_; }
+  void ask(Micros now);
+  void tell(Micros now);
+  void heard(std::vector<shared::Opinion> opinions, std::size_t routers, std::size_t sites);
+  void save(std::string bytes);
+  shared::Ledger::Counts counts() const;
+
+  boost::asio::io_context& io_;
+  core::Clock& clock_;
+  const config::Config& config_;
+  shared::Settings set_;
+  std::string snapshot_;
+  shared::Wallet wallet_;
+  shared::Witness witness_;
+  shared::Caution caution_;
+  std::vector<fleet::Count> counts_;  // by team and class; the last team is none
+  std::vector<std::string> unknown_;
+  boost::asio::steady_timer alarm_;
+  Micros next_tell_ = 0, next_seen_ = 0, next_save_ = 0;
+  Micros slept_ = 0;  // how far the member's clock is ahead of the core's, as of the last look
+  bool had_cases_ = false;
+  std::set<core::ReplicaId> avoided_;  // by hearsay
+  core::Broker* core_ = nullptr;
+  fleet::Member* member_ = nullptr;
+  std::unique_ptr<shared::Commons> commons_;
+  boost::asio::thread_pool disk_{1};
+};
+
+}  // namespace flintglade::commands
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -58,6 +58,13 @@
 std::size_t Broker::listed_replicas() const {
   return replicas_of(Health::ready) + replicas_of(Health::draining);
 }
+std::vector<ReplicaId> Broker::ready_replicas() const {
+  std::vector<ReplicaId> out;
+  for (const auto& [id, entry] : replicas_) {
+    if (entry.replica.health == Health::ready) out.push_back(id);
+  }
+  return out;
+}
 std::size_t Broker::avoided_replicas() const {
   return replicas_of(Health::draining) + module_.avoided(to_seconds(clock_.now()));
 }
@@ -87,6 +94,9 @@
 void Broker::call_ended(CallId id, Outcome outcome, std::uint32_t kept, std::vector<float> report) {
   gathered_.push_back(Ended{id, outcome, kept, std::move(report)});
 }
+void Broker::warned(ReplicaId replica, Micros span) {
+  gathered_.emplace_back(std::in_place_type<Warned>, replica, span);
+}
 void Broker::list_news(ListNews news) { gathered_.push_back(std::move(news)); }
 
 // ---- between processes
@@ -289,10 +299,13 @@
   const bool too_late = phase_ == Phase::draining && now_ >= takes_until();
   if (too_late || body_bytes_ + e.request->body.size() > set_.body_budget) {
     ++(too_late ? counters_.unavailable : counters_.overloaded);
-    ++count(e.request->klass).refused;
-    open_ids_.erase(e.request->trace_id);
-    e.channel->unavailable(kSecond, false);
-    return;
+    return refuse_unseen(e, kSecond);
+  }
+  Sharing::Word word;
+  if (sharing_ != nullptr) word = sharing_->arrived(now_, *e.request);
+  if (word.standing == Sharing::Standing::refused) {
+    ++counters_.over_budget;
+    return refuse_unseen(e, word.again);
   }
   Rpc& rpc = rpcs_[e.id];
   rpc.request = std::move(e.request);
@@ -316,9 +329,21 @@
   q.output_cap = r.output_cap;
   q.is_retry = r.is_retry;
   q.resumed = r.resumed;
+  if (word.standing != Sharing::Standing::unknown)
+    q.budget =
+        word.standing == Sharing::Standing::over ? pipitcleat::Budget::over : pipitcleat::Budget::within;
   module_.on_query(to_seconds(now_), q, *this);
 }
 
+void Broker::refuse_unseen(Arrived& e, Micros again) {
+  ++count(e.request->klass).refused;
+  open_ids_.erase(e.request->trace_id);
+  if (sharing_ != nullptr) sharing_->answered(*e.request, Sharing::End::refused);
+  e.channel->unavailable(again, false);
+}
+
+void Broker::take(Warned& e) { module_.on_warning(to_seconds(now_), e.replica, to_seconds(e.span)); }
+
 void Broker::take(Gone& e) {
   Rpc* rpc = find(e.id);
   if (rpc == nullptr || rpc->over()) return;
@@ -526,6 +551,10 @@
 }
 std::shared_ptr<Channel> Broker::close(Rpc& rpc, std::uint64_t Answers::*as) {
   ++(count(rpc.request->klass).*as);
+  if (sharing_ != nullptr)
+    sharing_->answered(*rpc.request, as == &Answers::served    ? Sharing::End::served
+                                     : as == &Answers::refused ? Sharing::End::refused
+                                                               : Sharing::End::failed);
   return close(rpc);
 }
 
@@ -544,6 +573,7 @@
   a.attempt = id.attempt;
   a.worker = call.replica;
   a.latency = to_seconds(now_ - call.sent);
+  if (sharing_ != nullptr) sharing_->first_event(now_, call.replica);
   if (trace_) trace_({Trace::What::bound, id.rpc, id.attempt, call.replica, "", now_ - call.sent});
   module_.on_accepted(to_seconds(now_), a, *this);
 }
@@ -577,6 +607,7 @@
   if (outcome == Outcome::ok && !bound) outcome = Outcome::cancelled;
   const std::size_t which = static_cast<std::size_t>(outcome) % counters_.outcomes.size();
   ++counters_.outcomes[which];
+  if (sharing_ != nullptr) sharing_->call_ended(now_, call.replica, outcome);
   if (trace_)
     trace_({Trace::What::ended, id.rpc, id.attempt, call.replica, kOutcomes[which], now_ - call.sent, 0, kept,
             replicas_[call.replica].replica.kind, replicas_[call.replica].replica.zone});
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -126,6 +126,10 @@
   std::size_t avoided_replicas() const;  // of them, those that the module now avoids, or that drain
   const Counters& counters() const { return counters_; }
   void trace(std::function<void(const Trace&)> to) { trace_ = std::move(to); }
+  void share(Sharing* with) { sharing_ = with; }  // borrowed; null: each router for itself
+  // Other routers have seen this replica fail: it is passed over for so long, as if a connect had failed.
+  void warned(ReplicaId replica, Micros span);
+  std::vector<ReplicaId> ready_replicas() const;  // by the list held
 
  private:
   struct Call {
@@ -171,7 +175,11 @@
     std::uint32_t kept;
     std::vector<float> report;
   };
-  using Event = std::variant<Arrived, Gone, Rejected, Writable, Events, Ended, ListNews>;
+  struct Warned {
+    ReplicaId replica;
+    Micros span;
+  };
+  using Event = std::variant<Arrived, Gone, Rejected, Writable, Events, Ended, ListNews, Warned>;
 
   struct Retired {
     Micros since = 0;
@@ -244,6 +252,7 @@
   void take(Events& e);
   void take(Ended& e);
   void take(ListNews& e);
+  void take(Warned& e);
 
   void carry_out(const Attempt& a);
   void carry_out(const Busy& a);
@@ -271,6 +280,7 @@
   std::shared_ptr<Channel> close(Rpc& rpc);  // takes the channel; the RPC is over
   // The same for the one final answer, which is counted here and nowhere else.
   std::shared_ptr<Channel> close(Rpc& rpc, std::uint64_t Answers::*as);
+  void refuse_unseen(Arrived& e, Micros again);  // the module never hears of it
   Answers& count(std::uint32_t klass) {
     return counters_.answers[std::min<std::size_t>(klass, counters_.answers.size() - 1)];
   }
@@ -303,6 +313,7 @@
   std::uint64_t alarms_set_ = 0;
   Counters counters_;
   std::function<void(const Trace&)> trace_;
+  Sharing* sharing_ = nullptr;
 };
 
 }  // namespace flintglade::core
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -13,6 +13,7 @@
   add("stalled", stalled);
   add("unavailable", unavailable);
   add("overloaded", overloaded);
+  add("over_budget", over_budget);
   add("failed", failed);
   add("rejected", rejected);
   add("overdue", overdue);
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -26,6 +26,7 @@
   std::uint64_t stalled = 0;      // of them, because no event came any more
   std::uint64_t unavailable = 0;  // refused by the module
   std::uint64_t overloaded = 0;   // refused for lack of memory or descriptors, unseen by the module
+  std::uint64_t over_budget = 0;  // refused: their team's shared budget is spent
   std::uint64_t failed = 0;
   std::uint64_t rejected = 0;               // of them, because a replica could not use the request
   std::uint64_t overdue = 0;                // answered by the core because the module had not by the deadline
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -99,6 +99,24 @@
   virtual void observe(bool on) = 0;
 };
 
+// What routers of a fleet share, as the core needs it. Called on the core's thread, in its turn: nothing here
+// may wait.
+class Sharing {
+ public:
+  enum class Standing : std::uint8_t { unknown, within, over, refused };
+  struct Word {
+    Standing standing = Standing::unknown;
+    Micros again = 0;  // refused: when to come back
+  };
+  virtual ~Sharing() = default;
+  // Before the module sees it: whether its team may have it. Refused ones never get to the module.
+  virtual Word arrived(Micros now, const RpcRequest& rpc) = 0;
+  enum class End : std::uint8_t { served, refused, failed };
+  virtual void answered(const RpcRequest& rpc, End how) = 0;  // each final answer, once
+  virtual void first_event(Micros now, ReplicaId replica) = 0;
+  virtual void call_ended(Micros now, ReplicaId replica, pipitcleat::Outcome outcome) = 0;
+};
+
 // What the core did with each RPC and call attempt, for whoever wants to count it: off unless set.
 struct Trace {
   enum class What : std::uint8_t { call, ended, bound, unavailable, failed, list, arrived, gone };
--- a/src/fleet/agent.cpp
+++ b/src/fleet/agent.cpp
@@ -153,7 +153,8 @@
                                                                       {"number", std::to_string(c.number)}}
                    : std::vector<std::pair<std::string, std::string>>{
                          {"job", c.job}, {"number", std::to_string(c.number)}, {"why", c.why}});
-    words_.push_back({c.starts ? Word::What::starts : Word::What::stops, c.job, c.number, {}, "", 0});
+    words_.push_back(
+        {c.starts ? Word::What::starts : Word::What::stops, c.job, c.number, {}, "", 0, {}, "", 0});
   }
   std::erase_if(asked_, [now](const auto& a) { return now - a.second.sent > kForgetAsked; });
 }
@@ -298,6 +299,7 @@
   if (ours && p.has_query()) {
     Packet answer = swim_.packet("");
     *answer.mutable_status() = status(now);
+    if (add_status_) add_status_(now, *answer.mutable_status());
     return send(from, answer);
   }
   if (!ours || p.what_case() < Packet::kRaft) {
@@ -341,12 +343,16 @@
         event("effect_of", {{"job", e.job()}, {"number", std::to_string(e.number())}, {"from", p.from()}});
       ++effects_taken_;
       if (words_.size() < kMostWords)
-        words_.push_back({Word::What::effect, e.job(), e.number(), e, from, e.rev()});
+        words_.push_back({Word::What::effect, e.job(), e.number(), e, from, e.rev(), {}, "", 0});
       break;
     }
+    case Packet::kShare:
+      if (words_.size() < kMostWords)
+        words_.push_back({Word::What::share, "", 0, {}, from, 0, p.share(), p.from(), p.birth()});
+      break;
     case Packet::kWant:
       if (words_.size() < kMostWords)
-        words_.push_back({Word::What::want, p.want().job(), 0, {}, from, p.want().rev()});
+        words_.push_back({Word::What::want, p.want().job(), 0, {}, from, p.want().rev(), {}, "", 0});
       break;
     default:
       break;
@@ -381,16 +387,35 @@
   return true;
 }
 
-void Agent::want(Micros, const std::string& job, std::uint32_t rev) {
+const peers::Peer* Agent::owner(const std::string& job) const {
   for (const Job& j : table().jobs()) {
     if (j.name() != job || j.owner().empty()) continue;
     const auto it = swim_.others().find(j.owner());
-    if (it == swim_.others().end()) return;
-    Packet p = swim_.packet(j.owner());
-    p.mutable_want()->set_job(job);
-    p.mutable_want()->set_rev(rev);
-    return send(it->second.at, p);
+    return it == swim_.others().end() ? nullptr : &it->second;
   }
+  return nullptr;
+}
+
+void Agent::want(Micros, const std::string& job, std::uint32_t rev) {
+  const peers::Peer* to = owner(job);
+  if (to == nullptr) return;
+  Packet p = swim_.packet(to->name);
+  p.mutable_want()->set_job(job);
+  p.mutable_want()->set_rev(rev);
+  send(to->at, p);
+}
+
+void Agent::share(const std::string& name, const std::string& at, const Share& share) {
+  if (displaced_) return;
+  Packet p = swim_.packet(name);
+  *p.mutable_share() = share;
+  send(at, p);
+}
+
+void Agent::draw(Micros now, const Draw& draw) {
+  Command c;
+  *c.mutable_draw() = draw;
+  ask(now, c);
 }
 
 // ---- the end, and what is told
--- a/src/fleet/agent.h
+++ b/src/fleet/agent.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -49,12 +50,15 @@
  public:
   // What comes out for the jobs of this router.
   struct Word {
-    enum class What { starts, stops, effect, want } what;
+    enum class What { starts, stops, effect, want, share } what;
     std::string job;
     std::uint64_t number = 0;
     Effect effect;     // of an admitted effect
-    std::string from;  // of a want: who asks
+    std::string from;  // of a want or a share: where it came from
     std::uint32_t rev = 0;
+    Share share;
+    std::string who;  // of a share: whose, and of which life
+    std::uint64_t birth = 0;
   };
 
   Agent(AgentSettings settings, std::uint64_t seed);
@@ -76,6 +80,10 @@
   // Writes an effect to all routers of the site, or to one address, if the lease is proved at this moment.
   // False: nothing was written.
   bool effect(Micros now, Effect effect, const std::string& site, const std::string& to = "");
+  // To one router: what all share.
+  void share(const std::string& name, const std::string& at, const Share& share);
+  // For the owner of a job: takes a part of a stock, once the record says so.
+  void draw(Micros now, const Draw& draw);
   // Asks the owner of a job what came after.
   void want(Micros now, const std::string& job, std::uint32_t rev);
 
@@ -88,7 +96,13 @@
   const Table& table() const { return votes() ? node_->jobs().table() : table_; }
   const Fence& fence() const { return fence_; }
   bool proved(Micros now, const std::string& job) const { return tenure_.proved(now, job); }
+  // Who owns it by the record; null: nobody, or a router that this one does not know.
+  const peers::Peer* owner(const std::string& job) const;
+  bool displaced() const { return displaced_; }
   Status status(Micros now) const;
+  // Beside what this class says of itself.
+  void on_status(std::function<void(Micros, Status&)> add) { add_status_ = std::move(add); }
+  void event(std::string name, std::vector<std::pair<std::string, std::string>> fields, bool warning = false);
 
  private:
   struct Asked {
@@ -106,7 +120,6 @@
   Record record(std::uint64_t known) const;
   void push(const std::string& router);
   std::string voter_at(Micros now);
-  void event(std::string name, std::vector<std::pair<std::string, std::string>> fields, bool warning = false);
 
   AgentSettings set_;
   std::mt19937_64 random_;
@@ -127,6 +140,17 @@
   std::vector<Word> words_;
   bool led_ = false, displaced_ = false, halted_told_ = false, had_leader_ = false;
   std::uint64_t effects_sent_ = 0, effects_taken_ = 0, effects_unproved_ = 0;
+  std::function<void(Micros, Status&)> add_status_;
+};
+
+// A part of the router that lives beside its agent, on the same thread and clock.
+class Companion {
+ public:
+  virtual ~Companion() = default;
+  virtual void receive(Micros now, Agent& agent, const Agent::Word& word) = 0;  // a share, or a job's turn
+  virtual void tick(Micros now, Agent& agent) = 0;
+  virtual Micros next() const = 0;
+  virtual void status(Micros now, const Agent& agent, Status& out) const = 0;
 };
 
 }  // namespace flintglade::fleet
--- a/src/fleet/member.cpp
+++ b/src/fleet/member.cpp
@@ -23,13 +23,6 @@
 // While an earlier process of this router still has the address or the directory.
 constexpr std::chrono::milliseconds kOpenAgain{200};
 
-// Runs while the machine sleeps, too: a lease ends on all clocks.
-Micros now() {
-  timespec t{};
-  ::clock_gettime(CLOCK_BOOTTIME, &t);
-  return static_cast<Micros>(t.tv_sec) * core::kSecond + t.tv_nsec / 1000;
-}
-
 bool parse(const std::string& at, udp::endpoint& out) {
   config::HostPort host;
   error_code ec;
@@ -47,6 +40,12 @@
 
 }  // namespace
 
+Micros Member::now() {
+  timespec t{};
+  ::clock_gettime(CLOCK_BOOTTIME, &t);
+  return static_cast<Micros>(t.tv_sec) * core::kSecond + t.tv_nsec / 1000;
+}
+
 Member::Member(Settings settings, OnWord on_word)
     : set_(std::move(settings)),
       on_word_(std::move(on_word)),
@@ -104,6 +103,8 @@
   log::event(
       Level::info, "listening",
       {{"name", set_.agent.self.name}, {"wire", "fleet"}, {"at", config::host_port(set_.listen.host, port)}});
+  if (set_.companion != nullptr)
+    agent_->on_status([this](Micros t, Status& s) { set_.companion->status(t, *agent_, s); });
   agent_->start(now());
   wait();
   turn();
@@ -154,7 +155,14 @@
 void Member::turn() {
   if (!agent_) return;
   for (const Event& e : agent_->events()) write(e);
-  for (const Agent::Word& w : agent_->words()) on_word_(w);
+  // What the companion does can bring words of its own: what it is told of a job's turn, once more.
+  for (int i = 0; i < 2; ++i) {
+    for (const Agent::Word& w : agent_->words()) {
+      if (set_.companion != nullptr) set_.companion->receive(now(), *agent_, w);
+      if (w.what != Agent::Word::What::share) on_word_(w);
+    }
+    if (set_.companion != nullptr && now() >= set_.companion->next()) set_.companion->tick(now(), *agent_);
+  }
   for (const peers::Datagram& d : agent_->take()) {
     udp::endpoint to;
     error_code ignored;
@@ -170,6 +178,7 @@
 
 void Member::arm() {
   Micros at = agent_->next();
+  if (set_.companion != nullptr) at = std::min(at, set_.companion->next());
   const Micros t = now();
   if (left_) at = std::min(at, t + 50 * core::kMilli);
   if (at == core::kNever) at = t + core::kSecond;
@@ -201,6 +210,14 @@
   });
 }
 
+void Member::with_agent(std::function<void(Micros, Agent&)> what) {
+  asio::post(io_, [this, what = std::move(what)] {
+    if (!agent_) return;
+    what(now(), *agent_);
+    turn();
+  });
+}
+
 void Member::want(std::string job, std::uint32_t rev) {
   asio::post(io_, [this, job = std::move(job), rev] {
     if (!agent_) return;
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -16,12 +16,15 @@
 
 class Member {
  public:
+  // Its clock, which runs while the machine sleeps, too: a lease ends on all clocks.
+  static Micros now();
   struct Settings {
     AgentSettings agent;
     config::HostPort listen;
     std::uint64_t voter_id = 0;  // 0: no voter
     std::string directory;       // of a voter
     std::uint64_t seed = 0;
+    Companion* companion = nullptr;  // borrowed; on the member's thread alone
   };
   using OnWord = std::function<void(const Agent::Word&)>;  // on the member's thread
 
@@ -37,6 +40,8 @@
   // From any thread. Nothing is written without a proved lease.
   void effect(Effect effect, std::string site, std::string to = "");
   void want(std::string job, std::uint32_t rev);
+  // On the member's thread; dropped while the agent is not there yet.
+  void with_agent(std::function<void(Micros, Agent&)> what);
 
  private:
   bool open();
--- a/src/fleet/table.cpp
+++ b/src/fleet/table.cpp
@@ -1,5 +1,7 @@
 #include "fleet/table.h"
 
+#include <algorithm>
+
 namespace flintglade::fleet {
 
 const Job* Jobs::find(std::string_view name) const {
@@ -64,6 +66,10 @@
       out.changed = true;
       break;
     }
+    case Command::kDraw:
+      out.changed = draw(command.draw());
+      out.job = command.draw().job();
+      break;
     default:
       break;
   }
@@ -71,4 +77,36 @@
   return out;
 }
 
+// The sum of all draws of a window never passes its whole: a draw of a former owner, of a window that is over
+// or one that was done already changes nothing, and the last one gets what is left.
+bool Jobs::draw(const Draw& d) {
+  const Job* job = find(d.job());
+  if (job == nullptr || job->number() != d.number() || d.amount() <= 0 || d.whole() <= 0) return false;
+  Stock* stock = nullptr;
+  for (Stock& s : *table_.mutable_stocks()) {
+    if (s.name() == d.stock()) stock = &s;
+  }
+  if (stock == nullptr) {
+    if (table_.stocks_size() >= kMostStocks) return false;
+    stock = table_.add_stocks();
+    stock->set_name(d.stock());
+    stock->set_window(d.window());
+    stock->set_whole(d.whole());
+  }
+  if (d.window() < stock->window()) return false;
+  if (stock->number() == d.number() && d.serial() <= stock->serial()) return false;
+  if (d.window() > stock->window()) {
+    stock->set_window(d.window());
+    stock->set_drawn(0);
+    stock->set_whole(d.whole());
+  }
+  stock->set_whole(std::min(stock->whole(), d.whole()));
+  const std::int64_t granted = std::clamp<std::int64_t>(stock->whole() - stock->drawn(), 0, d.amount());
+  stock->set_drawn(stock->drawn() + granted);
+  stock->set_number(d.number());
+  stock->set_serial(d.serial());
+  stock->set_granted(granted);
+  return true;
+}
+
 }  // namespace flintglade::fleet
--- a/src/fleet/table.h
+++ b/src/fleet/table.h
@@ -12,12 +12,12 @@
 
 namespace flintglade::fleet {
 
-inline constexpr int kMostJobs = 256;
+inline constexpr int kMostJobs = 256, kMostStocks = 256;
 
 // What a command did.
 struct Applied {
   bool changed = false;       // the table is another
-  std::string job;            // of a Grant, Release or Move
+  std::string job;            // of a Grant, Release, Move or Draw
   std::vector<Held> renewed;  // of a Renew: what is still the asker's
 };
 
@@ -34,6 +34,7 @@
 
  private:
   Job* get(const std::string& name);
+  bool draw(const Draw& d);
   Table table_;
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -76,6 +76,13 @@
   fleet_init->add_flag("--join", of_fleet.join,
                        "the fleet has a record already: this voter is to be added to it");
 
+  CLI::App* shared = app.add_subcommand("shared", "What the routers of a fleet share");
+  shared->require_subcommand(1);
+  CLI::App* shared_show =
+      shared->add_subcommand("show", "Show budgets, counts and judgements as a router of the fleet has them");
+  shared_show->add_option("ADDRESS", of_fleet.at, "where a router of the fleet listens")->required();
+  shared_show->add_flag("--json", of_fleet.json, "print all that it says, as JSON");
+
   std::vector<std::string> logs;
   CLI::App* fleet_audit =
       fleet->add_subcommand("audit", "Check the rules of jobs on the logs of a fleet's routers");
@@ -102,6 +109,8 @@
     status = commands::fleet_init(of_fleet);
   } else if (fleet_audit->parsed()) {
     status = commands::fleet_audit(logs);
+  } else if (shared_show->parsed()) {
+    status = commands::shared_show(of_fleet);
   } else if (conformance->parsed()) {
     status = commands::conformance(suite);
   } else if (resolve->parsed()) {
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -16,6 +16,12 @@
 namespace {
 
 namespace pb = google::protobuf;
+
+std::string number(double value) {
+  const std::string out = std::to_string(value);
+  const std::size_t end = out.find_last_not_of('0');
+  return out.substr(0, end + 1 - (end == out.find('.')));
+}
 using Tree = pb::TextFormat::ParseInfoTree;
 
 constexpr std::size_t kLargestFile = 4u << 20;
@@ -91,11 +97,6 @@
 std::string numbers(const pb::Message& message, const Place& place,
                     std::initializer_list<std::tuple<const char*, double, double>> bounds) {
   const pb::Reflection* reflection = message.GetReflection();
-  const auto text = [](double v) {
-    const std::string out = std::to_string(v);
-    const std::size_t end = out.find_last_not_of('0');
-    return out.substr(0, end + 1 - (end == out.find('.')));
-  };
   for (const auto& [name, least, most] : bounds) {
     const pb::FieldDescriptor* field = message.GetDescriptor()->FindFieldByName(name);
     if (!reflection->HasField(message, field)) continue;
@@ -103,7 +104,7 @@
                              ? reflection->GetDouble(message, field)
                              : reflection->GetUInt32(message, field);
     if (!(value >= least && value <= most))
-      return place.in(name).wrong("not from " + text(least) + " to " + text(most));
+      return place.in(name).wrong("not from " + number(least) + " to " + number(most));
   }
   return "";
 }
@@ -269,6 +270,43 @@
   return error;
 }
 
+// Budgets whose parts can't sum, or of which a part would be no whole request.
+std::string check(const deploy::Shared& shared, const deploy::Fleet& fleet, const Place& at) {
+  if (shared.routers() < 1 || shared.routers() > 65536) return at.in("routers").wrong("from 1 to 65536");
+  std::string error =
+      numbers(shared, at, {{"part_s", 0.2, 60}, {"most_per_s", 1, 1e7}, {"most_delay_s", 0.001, 60}});
+  if (error.empty() && shared.has_hearsay())
+    error = numbers(shared.hearsay(), at.in("hearsay"),
+                    {{"witnesses", 2, 1024}, {"keep_s", 0.5, 60}, {"most_part", 0, 0.9}});
+  if (!error.empty()) return error;
+  if (shared.budgets_size() > 0 && fleet.voters().empty())
+    return at.in("budgets", 0).wrong("without voters nobody hands out the parts");
+  if (shared.budgets_size() > 256) return at.in("budgets", 256).wrong("more than 256 budgets");
+  std::set<std::string> names;
+  for (int i = 0; i < shared.budgets_size(); ++i) {
+    const deploy::Budget& b = shared.budgets(i);
+    const Place here = at.in("budgets", i);
+    if (b.name().empty() || b.name().size() > 64) return here.wrong("name: from 1 to 64 characters");
+    if (b.team().empty()) return here.wrong("team: there is none");
+    if (!names.insert(b.name()).second) return here.in("name").wrong("a budget of this name stands before");
+    const bool quota = b.has_per_s(), stock = b.has_whole();
+    if (quota == stock) return here.wrong("either per_s and burst, or whole and window_s");
+    error = quota ? numbers(b, here, {{"per_s", 0.001, 1e9}, {"burst", 1, 1e9}, {"aside", 0, 0.9}})
+                  : numbers(b, here, {{"whole", 1, 1e12}, {"window_s", 1, 31 * 86400.0}, {"aside", 0, 0.9}});
+    if (!error.empty()) return error;
+    if (quota && !b.has_burst()) return here.wrong("burst: there is none");
+    if (stock && !b.has_window_s()) return here.wrong("window_s: there is none");
+    const double aside = b.has_aside() ? b.aside() : 0.1;
+    const double own = aside * (quota ? b.burst() : b.whole() / 2) / shared.routers();
+    if (aside > 0 && own < 1)
+      return here.wrong("put aside for " + std::to_string(shared.routers()) +
+                        " routers, each would have less than one: a larger " + (quota ? "burst" : "whole") +
+                        ", or aside: 0");
+    if (quota && (1 - aside) * b.burst() < 2) return here.wrong("burst: the bank would have less than two");
+  }
+  return "";
+}
+
 std::string check(const deploy::Fleet& fleet, const Place& at) {
   if (fleet.name().empty()) return at.wrong("name: there is none");
   if (!is_host_port(fleet.listen())) return at.in("listen").wrong("not of the form ADDRESS:PORT");
@@ -312,6 +350,7 @@
                                {"election_s", 0.1, 60},
                                {"list_silence_s", 0.2, 600},
                                {"most_routers", 2, 65536}});
+  if (error.empty() && fleet.has_shared()) error = check(fleet.shared(), fleet, at.in("shared"));
   const double period = fleet.has_period_s() ? fleet.period_s() : 1.0,
                timeout = fleet.has_probe_timeout_s() ? fleet.probe_timeout_s() : 0.2;
   if (error.empty() && timeout > period / 2)
@@ -410,6 +449,18 @@
       out += "fleet: voter " + std::to_string(v.id()) + " is " + v.router() + " at " + v.at() + "\n";
     for (const std::string& site : fleet.list_readers())
       out += "fleet: one router of " + site + " reads the list for all of it\n";
+    for (const auto& b : fleet.shared().budgets()) {
+      const double aside = b.has_aside() ? b.aside() : 0.1, all = b.has_per_s() ? b.per_s() : b.whole();
+      out += "fleet: " + b.team() + " has " + number(all) +
+             (b.unit() == deploy::Budget::TOKENS ? " tokens" : " requests") +
+             (b.has_per_s() ? " a second, " + number(b.burst()) + " at once"
+                            : " in each " + number(b.window_s()) + " s") +
+             " over the whole fleet; " + number(all * aside / fleet.shared().routers()) +
+             " of it at a router that hears nothing; beyond it: " +
+             (b.beyond() == deploy::Budget::LAST ? "last" : "refused") + "\n";
+    }
+    if (fleet.shared().counts()) out += "fleet: counts are shared\n";
+    if (fleet.shared().has_hearsay()) out += "fleet: what routers see of replicas is shared\n";
   }
   if (!file.has_membership()) return out + "membership: the platform's list alone\n";
   for (const auto& source : file.membership().sources()) {
--- /dev/null
+++ b/src/shared/commons.cpp
@@ -0,0 +1,419 @@
+#include "shared/commons.h"
+
+#include <zlib.h>
+
+#include <cmath>
+
+namespace flintglade::shared {
+namespace {
+constexpr Micros kBankTick = 100 * core::kMilli, kOpinionTick = 250 * core::kMilli;
+constexpr Micros kClockKept = 30 * core::kSecond;
+constexpr Micros kMostAge = 3600 * core::kSecond;
+constexpr std::size_t kMarks = 40, kMostClocks = 4096, kMostName = 64;
+constexpr std::size_t kMostPackets = 8;  // of news, in answer to one digest
+constexpr std::size_t kMostRow = 48u << 10;
+constexpr std::uint32_t kSnapshotVersion = 1;
+constexpr char kMagic[] = "fgsh";
+
+std::uint32_t checksum(std::string_view bytes) {
+  return static_cast<std::uint32_t>(
+      ::crc32(0, reinterpret_cast<const Bytef*>(bytes.data()), static_cast<uInt>(bytes.size())));
+}
+}  // namespace
+
+Commons::Commons(Settings settings, Ports ports, const peers::Self& self, std::uint64_t seed)
+    : set_(std::move(settings)),
+      ports_(std::move(ports)),
+      self_(self.name, self.birth),
+      site_(self.site),
+      random_(seed),
+      bank_(set_.budgets),
+      ledger_(set_, self.name, self.birth, self.site),
+      seen_(set_.most_rows) {}
+
+// ---- what this router has to say
+
+void Commons::ask(Micros now, fleet::Agent& agent, const fleet::Ask& ask, bool to_peer) {
+  if (!to_peer && is_bank(now, agent)) {
+    if (const auto p = bank_.asked(now, self_.first, self_.second, ask)) ports_.parcel(*p);
+    return;
+  }
+  fleet::Share s;
+  *s.mutable_ask() = ask;
+  const peers::Peer* bank = agent.owner(kBankJob);
+  if (!to_peer && bank != nullptr) return share(now, agent, bank->name, std::move(s));
+  counters_.no_bank += !to_peer;
+  const auto others = living(agent);
+  if (others.empty()) return;
+  ++counters_.asks_passed;
+  share(now, agent, others[random_() % others.size()]->name, std::move(s));
+}
+
+void Commons::lent(Micros now, fleet::Agent& agent, const std::string& to, const fleet::Parcel& parcel) {
+  fleet::Share s;
+  *s.mutable_parcel() = parcel;
+  share(now, agent, to, std::move(s));
+}
+
+void Commons::give_back(Micros now, fleet::Agent& agent, const fleet::Return& back) {
+  if (bank_.open() && bank_.number() == back.bank()) {
+    bank_.returned(now, self_.first, back);
+    return;
+  }
+  // To the bank that handed it out, and to no other: it could be handed out twice.
+  for (const fleet::Job& j : agent.table().jobs()) {
+    if (j.name() != kBankJob || j.number() != back.bank() || j.owner().empty()) continue;
+    fleet::Share s;
+    *s.mutable_back() = back;
+    share(now, agent, j.owner(), std::move(s));
+  }
+}
+
+void Commons::counted(Micros now, const Ledger::Counts& counts) {
+  if (set_.counts && ledger_.seal(now, counts)) ledger_.rows().all()[self_].passes = 4;
+}
+
+void Commons::saw(Micros now, std::vector<fleet::Case> cases) {
+  fleet::Seen seen;
+  seen.set_name(self_.first);
+  seen.set_birth(self_.second);
+  seen.set_site(site_);
+  seen.set_version(seen_.version(self_) + 1);
+  for (fleet::Case& c : cases) *seen.add_cases() = std::move(c);
+  seen_.take(now, std::move(seen), 0, 5);
+  next_gossip_ = now;
+}
+
+// ---- what comes
+
+bool Commons::sane(const fleet::Seen& seen) const {
+  if (seen.name().empty() || seen.name().size() > kMostName || seen.site().size() > kMostName ||
+      seen.version() == 0 || seen.birth() == 0 || seen.age_us() < 0 || seen.age_us() > kMostAge ||
+      static_cast<std::size_t>(seen.cases_size()) > set_.most_cases)
+    return false;
+  return std::all_of(seen.cases().begin(), seen.cases().end(),
+                     [](const fleet::Case& c) { return c.age_us() >= 0 && c.age_us() <= kMostAge; });
+}
+
+void Commons::absurd(fleet::Agent& agent, const std::string& from, const std::string& what) {
+  ++counters_.absurd;
+  agent.event("share_refused", {{"from", from}, {"why", what}}, true);
+}
+
+// How much longer than the quickest one of this life this packet was on its way.
+Micros Commons::late(Micros now, const std::string& who, std::uint64_t birth, Micros sent) {
+  if (clocks_.size() >= kMostClocks && clocks_.count(who) == 0) clocks_.erase(clocks_.begin());
+  Clock& c = clocks_[who];
+  const Micros apart = now - sent;
+  if (c.birth != birth) c = {birth, apart, 0, -1};
+  c.least = std::min(c.least, apart);
+  return apart - c.least;
+}
+
+Micros Commons::fleet_time(Micros now) const {
+  std::vector<Micros> apart{0};
+  for (const auto& [who, c] : clocks_) {
+    if (c.heard >= 0 && now - c.heard < kClockKept) apart.push_back(c.unix_apart);
+  }
+  std::nth_element(apart.begin(), apart.begin() + static_cast<std::ptrdiff_t>(apart.size() / 2), apart.end());
+  return ports_.unix_time() + apart[apart.size() / 2];
+}
+
+void Commons::receive(Micros now, fleet::Agent& agent, const fleet::Agent::Word& word) {
+  using What = fleet::Agent::Word::What;
+  if (word.job == kBankJob && word.what == What::starts) {
+    bank_.starts(now, word.number);
+    next_bank_ = now;
+  }
+  if (word.job == kBankJob && word.what == What::stops) {
+    bank_.stops();
+    next_bank_ = core::kNever;
+  }
+  if (word.what != What::share) return;
+  ++counters_.received;
+  const fleet::Share& s = word.share;
+  if (word.who.empty() || word.who.size() > kMostName || word.who == self_.first || word.birth == 0) {
+    return absurd(agent, word.from, "no name");
+  }
+  const Micros longer = late(now, word.who, word.birth, s.sent_us());
+  Clock& clock = clocks_[word.who];
+  clock.unix_apart = s.unix_us() - ports_.unix_time();
+  clock.heard = now;
+  switch (s.what_case()) {
+    case fleet::Share::kAsk:
+      answer(now, agent, word.from, word.who, word.birth, s.ask());
+      break;
+    case fleet::Share::kParcel:
+      ports_.parcel(s.parcel());
+      break;
+    case fleet::Share::kBack:
+      bank_.returned(now, word.who, s.back());
+      break;
+    case fleet::Share::kNews:
+      take(now, agent, s.news(), longer, word.who);
+      break;
+    case fleet::Share::kDigest:
+      take(now, agent, s.digest(), word.who);
+      break;
+    default:
+      break;
+  }
+}
+
+void Commons::answer(Micros now, fleet::Agent& agent, const std::string&, const std::string& who,
+                     std::uint64_t birth, const fleet::Ask& ask) {
+  if (ask.want() < 0 || ask.want() > kMostAmount || ask.demand() < 0 || ask.demand() > kMostAmount)
+    return absurd(agent, who, "an amount that cannot be");
+  if (!is_bank(now, agent)) return ports_.lend(who, ask);
+  const auto parcel = bank_.asked(now, who, birth, ask);
+  if (!parcel) return;
+  fleet::Share s;
+  *s.mutable_parcel() = *parcel;
+  share(now, agent, who, std::move(s));
+}
+
+void Commons::take(Micros now, fleet::Agent& agent, const fleet::News& news, Micros longer,
+                   const std::string& from) {
+  std::string wrong;
+  for (const fleet::Row& row : news.rows()) {
+    const std::string why = ledger_.take(now, row, longer, passes(agent));
+    if (!why.empty()) wrong = "row of " + row.name().substr(0, kMostName) + ": " + why;
+  }
+  bool heard = false;
+  for (const fleet::Seen& seen : news.seen()) {
+    if (!sane(seen))
+      wrong = "words of " + seen.name().substr(0, kMostName) + ": numbers that cannot be";
+    else if (seen.name() != self_.first)
+      heard = seen_.take(now, seen, longer, passes(agent)) || heard;
+  }
+  if (!wrong.empty()) absurd(agent, from, wrong);
+  if (heard) next_opinions_ = now;
+}
+
+// Who has the newer version of a row sends it; what is newer there is asked for, once.
+void Commons::take(Micros now, fleet::Agent& agent, const fleet::Digest& digest, const std::string& who) {
+  std::map<Life, std::uint64_t> marks;
+  for (const fleet::Mark& m : digest.marks()) {
+    if (marks.size() < 2 * kMarks) marks[{m.name(), m.birth()}] = m.version();
+  }
+  fleet::Digest back;
+  back.set_from(digest.from());
+  back.set_to(digest.to());
+  bool lacks = false;
+  std::vector<fleet::Share> out(1);
+  std::size_t bytes = 0;
+  for (const auto& [life, h] : ledger_.rows().all()) {
+    if (life.first < digest.from() || (!digest.to().empty() && life.first >= digest.to())) continue;
+    if (back.marks_size() < static_cast<int>(2 * kMarks)) {
+      fleet::Mark& mark = *back.add_marks();
+      mark.set_name(life.first);
+      mark.set_birth(life.second);
+      mark.set_version(h.entry.version());
+    }
+    const auto mark = marks.find(life);
+    const std::uint64_t theirs = mark == marks.end() ? 0 : mark->second;
+    if (theirs > h.entry.version()) lacks = true;
+    if (theirs >= h.entry.version()) continue;
+    const std::size_t size = h.entry.ByteSizeLong() + 16;
+    if (size > kMostRow) continue;
+    if (bytes > 0 && bytes + size > set_.most_bytes) {
+      if (out.size() == kMostPackets) break;
+      out.emplace_back();
+      bytes = 0;
+    }
+    bytes += size;
+    *out.back().mutable_news()->add_rows() = Heard<fleet::Row>::aged(now, h);
+  }
+  for (const auto& [life, version] : marks) lacks = lacks || ledger_.rows().version(life) < version;
+  for (fleet::Share& s : out) {
+    if (s.has_news()) share(now, agent, who, std::move(s));
+  }
+  if (!lacks || !digest.answer()) return;
+  fleet::Share s;
+  *s.mutable_digest() = back;
+  share(now, agent, who, std::move(s));
+}
+
+// ---- what goes out
+
+std::vector<const peers::Peer*> Commons::living(const fleet::Agent& agent) const {
+  std::vector<const peers::Peer*> out;
+  for (const auto& [name, p] : agent.peers().others()) {
+    if (p.standing == fleet::ALIVE || p.standing == fleet::SUSPECT) out.push_back(&p);
+  }
+  return out;
+}
+
+int Commons::passes(const fleet::Agent& agent) const {
+  return 2 + static_cast<int>(std::log2(1.0 + static_cast<double>(agent.peers().others().size())) / 2);
+}
+
+void Commons::share(Micros now, fleet::Agent& agent, const std::string& to, fleet::Share share) {
+  const auto it = agent.peers().others().find(to);
+  if (it == agent.peers().others().end()) return;
+  share.set_sent_us(now);
+  share.set_unix_us(ports_.unix_time());
+  ++counters_.sent;
+  counters_.bytes += share.ByteSizeLong();
+  agent.share(to, it->second.at, share);
+}
+
+void Commons::gossip(Micros now, fleet::Agent& agent) {
+  const auto others = living(agent);
+  fleet::Share s;
+  std::size_t bytes = 0;
+  const auto add = [&](auto& heard, auto adder) {
+    for (auto& [life, h] : heard.all()) {
+      const std::size_t size = h.entry.ByteSizeLong() + 16;
+      if (h.passes <= 0 || size > kMostRow || (bytes > 0 && bytes + size > set_.most_bytes)) continue;
+      bytes += size;
+      --h.passes;
+      adder(h);
+    }
+  };
+  add(seen_, [&](const auto& h) { *s.mutable_news()->add_seen() = Heard<fleet::Seen>::aged(now, h); });
+  add(ledger_.rows(),
+      [&](const auto& h) { *s.mutable_news()->add_rows() = Heard<fleet::Row>::aged(now, h); });
+  if (!s.has_news() || others.empty()) return;
+  std::vector<const peers::Peer*> to;
+  std::sample(others.begin(), others.end(), std::back_inserter(to), set_.fan_out, random_);
+  for (const peers::Peer* p : to) share(now, agent, p->name, s);
+}
+
+void Commons::compare(Micros now, fleet::Agent& agent) {
+  const auto others = living(agent);
+  if (others.empty()) return;
+  fleet::Share s;
+  fleet::Digest& d = *s.mutable_digest();
+  d.set_from(compared_);
+  d.set_answer(true);
+  compared_.clear();
+  for (const auto& [life, h] : ledger_.rows().all()) {
+    if (life.first < d.from()) continue;
+    if (d.marks_size() >= static_cast<int>(kMarks) && life.first != d.marks(d.marks_size() - 1).name()) {
+      compared_ = life.first;
+      break;
+    }
+    fleet::Mark& mark = *d.add_marks();
+    mark.set_name(life.first);
+    mark.set_birth(life.second);
+    mark.set_version(h.entry.version());
+  }
+  d.set_to(compared_);
+  ++counters_.digests;
+  share(now, agent, others[random_() % others.size()]->name, std::move(s));
+}
+
+void Commons::tell_opinions(Micros now, const fleet::Agent& agent) {
+  std::erase_if(seen_.all(),
+                [&](const auto& h) { return h.first != self_ && now - h.second.sealed > 4 * set_.keep; });
+  opinions_ = weigh(now, set_, seen_, self_.first);
+  std::set<std::string> sites{site_};
+  std::size_t routers = 1;
+  for (const peers::Peer* p : living(agent)) {
+    ++routers;
+    sites.insert(p->site);
+  }
+  ports_.opinions(opinions_, routers, sites.size());
+  next_opinions_ = opinions_.empty() ? core::kNever : now + kOpinionTick;
+}
+
+void Commons::tick(Micros now, fleet::Agent& agent) {
+  if (now >= next_gossip_) {
+    next_gossip_ = now + set_.gossip;
+    gossip(now, agent);
+  }
+  if (now >= next_compare_) {
+    next_compare_ =
+        now + set_.compare / 2 + static_cast<Micros>(random_() % static_cast<std::uint64_t>(set_.compare));
+    if (set_.counts) compare(now, agent);
+  }
+  if (now >= next_opinions_) tell_opinions(now, agent);
+  if (now >= next_bank_) {
+    next_bank_ = bank_.open() ? now + kBankTick : core::kNever;
+    bank_.record(agent.table());
+    if (is_bank(now, agent)) {
+      for (const fleet::Draw& d : bank_.draws(now, fleet_time(now))) agent.draw(now, d);
+    }
+  }
+}
+
+Micros Commons::next() const { return std::min({next_gossip_, next_compare_, next_opinions_, next_bank_}); }
+
+// ---- what lasts
+
+std::string Commons::snapshot(Micros now) const {
+  fleet::News news;
+  for (const auto& [life, h] : ledger_.rows().all()) *news.add_rows() = Heard<fleet::Row>::aged(now, h);
+  const std::string body = news.SerializeAsString();
+  std::string out = kMagic;
+  for (const std::uint32_t n : {kSnapshotVersion, static_cast<std::uint32_t>(body.size()), checksum(body)}) {
+    for (int shift = 0; shift < 32; shift += 8) out += static_cast<char>(n >> shift);
+  }
+  return out + body;
+}
+
+std::string Commons::restore(Micros now, std::string_view bytes) {
+  if (bytes.empty()) return "";
+  const auto number = [&](std::size_t at) {
+    std::uint32_t n = 0;
+    for (std::size_t i = 0; i < 4; ++i)
+      n |= std::uint32_t{static_cast<unsigned char>(bytes[at + i])} << (8 * i);
+    return n;
+  };
+  if (bytes.size() < 16 || bytes.substr(0, 4) != kMagic) return "it is no snapshot of counts";
+  if (number(4) != kSnapshotVersion) return "it is of version " + std::to_string(number(4));
+  const std::string_view body = bytes.substr(16);
+  if (body.size() != number(8) || checksum(body) != number(12)) return "it is torn";
+  fleet::News news;
+  if (!news.ParseFromArray(body.data(), static_cast<int>(body.size()))) return "it cannot be read";
+  // How old it is nobody knows: as old as a row can be.
+  for (const fleet::Row& row : news.rows()) ledger_.take(now, row, kMostAge, 2);
+  return "";
+}
+
+void Commons::status(Micros now, const fleet::Agent& agent, fleet::Status& out) const {
+  fleet::SharedStatus& s = *out.mutable_shared();
+  s = wallet_;
+  s.set_bank(is_bank(now, agent));
+  for (const auto& [key, t] : ledger_.totals(now)) {
+    auto& total = *s.add_totals();
+    std::tie(*total.mutable_team(), *total.mutable_klass(), *total.mutable_site()) = key;
+    total.set_served(t.count.served());
+    total.set_refused(t.count.refused());
+    total.set_failed(t.count.failed());
+    total.set_tokens(t.count.tokens());
+    total.set_worth(t.count.worth());
+    total.set_most(t.most_served);
+    total.set_age_us(t.oldest);
+  }
+  for (const Opinion& o : opinions_) {
+    auto& heard = *s.add_heard();
+    heard.set_replica(o.replica);
+    heard.set_bad(o.bad);
+    heard.set_good(o.good);
+    heard.set_sites(o.sites);
+    heard.set_age_us(o.age);
+    heard.set_avoided(avoided_.count(o.replica) > 0);
+  }
+  s.set_rows(ledger_.rows().all().size());
+  s.set_rows_dropped(ledger_.rows().dropped());
+  auto& counters = *s.mutable_counters();
+  counters["sent"] = counters_.sent;
+  counters["received"] = counters_.received;
+  counters["bytes_sent"] = counters_.bytes;
+  counters["absurd"] = counters_.absurd;
+  counters["asks_passed"] = counters_.asks_passed;
+  counters["no_bank"] = counters_.no_bank;
+  counters["digests"] = counters_.digests;
+  const Bank::Counters& b = bank_.counters();
+  counters["bank_asks"] = b.asks;
+  counters["bank_again"] = b.again;
+  counters["bank_parts"] = b.parts;
+  counters["bank_dry"] = b.dry;
+  counters["bank_returned"] = b.returned;
+  counters["bank_unknown"] = b.unknown;
+  counters["bank_draws"] = b.draws;
+}
+
+}  // namespace flintglade::shared
--- /dev/null
+++ b/src/shared/commons.h
@@ -0,0 +1,102 @@
+// What a router of the fleet does for what all share: it is the bank while it owns that job, passes asks on,
+// spreads counts and judgements. Pure, beside the fleet::Agent and on its clock and thread; the wallet and
+// the witness, which the serving path uses, are elsewhere and reached through Ports.
+//
+// News travel as rumors, a few times each to a few others, and by digests with one other now and then: what a
+// router missed, for a second or for an hour, comes in packets of a bounded size at a bounded pace.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "fleet/agent.h"
+#include "shared/bank.h"
+#include "shared/hearsay.h"
+#include "shared/ledger.h"
+
+namespace flintglade::shared {
+
+class Commons final : public fleet::Companion {
+ public:
+  struct Ports {
+    std::function<void(const fleet::Parcel&)> parcel;                      // for this router's wallet
+    std::function<void(const std::string& from, const fleet::Ask&)> lend;  // another router asks ours
+    // What has been heard of replicas, and of how many routers and sites.
+    std::function<void(std::vector<Opinion>, std::size_t routers, std::size_t sites)> opinions;
+    std::function<Micros()> unix_time;
+  };
+  Commons(Settings settings, Ports ports, const peers::Self& self, std::uint64_t seed);
+
+  // ---- from this router's core
+  void ask(Micros now, fleet::Agent& agent, const fleet::Ask& ask, bool to_peer);
+  void lent(Micros now, fleet::Agent& agent, const std::string& to, const fleet::Parcel& parcel);
+  void give_back(Micros now, fleet::Agent& agent, const fleet::Return& back);
+  void counted(Micros now, const Ledger::Counts& counts);
+  void saw(Micros now, std::vector<fleet::Case> cases);
+  // For whoever asks: the wallet, and the replicas that hearsay has this router avoid now.
+  void core_says(fleet::SharedStatus wallet, std::set<core::ReplicaId> avoided) {
+    wallet_ = std::move(wallet);
+    avoided_ = std::move(avoided);
+  }
+  // What a process of this router before has left.
+  std::string restore(Micros now, std::string_view bytes);
+  std::string snapshot(Micros now) const;
+
+  // ---- fleet::Companion
+  void receive(Micros now, fleet::Agent& agent, const fleet::Agent::Word& word) override;
+  void tick(Micros now, fleet::Agent& agent) override;
+  Micros next() const override;
+  void status(Micros now, const fleet::Agent& agent, fleet::Status& out) const override;
+
+  const Ledger& ledger() const { return ledger_; }
+  const Heard<fleet::Seen>& seen() const { return seen_; }
+  const Bank& bank() const { return bank_; }
+
+ private:
+  void share(Micros now, fleet::Agent& agent, const std::string& to, fleet::Share share);
+  void answer(Micros now, fleet::Agent& agent, const std::string& at, const std::string& who,
+              std::uint64_t birth, const fleet::Ask& ask);
+  void take(Micros now, fleet::Agent& agent, const fleet::News& news, Micros late, const std::string& from);
+  void take(Micros now, fleet::Agent& agent, const fleet::Digest& digest, const std::string& at);
+  void gossip(Micros now, fleet::Agent& agent);
+  void compare(Micros now, fleet::Agent& agent);
+  Micros late(Micros now, const std::string& who, std::uint64_t birth, Micros sent);
+  std::vector<const peers::Peer*> living(const fleet::Agent& agent) const;
+  bool sane(const fleet::Seen& seen) const;
+  void absurd(fleet::Agent& agent, const std::string& from, const std::string& what);
+  int passes(const fleet::Agent& agent) const;
+  void tell_opinions(Micros now, const fleet::Agent& agent);
+  bool is_bank(Micros now, const fleet::Agent& agent) const {
+    return bank_.open() && agent.proved(now, kBankJob);
+  }
+
+  Settings set_;
+  Ports ports_;
+  Life self_;
+  std::string site_;
+  std::mt19937_64 random_;
+  Bank bank_;
+  Ledger ledger_;
+  Heard<fleet::Seen> seen_;
+  struct Clock {
+    std::uint64_t birth = 0;
+    Micros least = 0;                   // of receiving less sending, on both clocks
+    Micros unix_apart = 0, heard = -1;  // of their Unix time from ours
+  };
+  std::map<std::string, Clock> clocks_;
+  std::string compared_;  // up to which name digests have gone
+  Micros next_gossip_ = 0, next_compare_ = 0, next_bank_ = core::kNever;
+  Micros next_opinions_ = core::kNever;
+  Micros fleet_time(Micros now) const;  // Unix time: the middle one of all routers' that were heard lately
+  fleet::SharedStatus wallet_;
+  std::set<core::ReplicaId> avoided_;
+  std::vector<Opinion> opinions_;
+  struct Counters {
+    std::uint64_t sent = 0, received = 0, bytes = 0, absurd = 0, asks_passed = 0, no_bank = 0, digests = 0;
+  } counters_;
+};
+
+}  // namespace flintglade::shared
