--- a/src/shared/commons.cpp
+++ b/src/shared/commons.cpp
@@ -9,6 +9,7 @@
 constexpr Micros kBankTick = 100 * core::kMilli, kOpinionTick = 250 * core::kMilli;
 constexpr Micros kClockKept = 30 * core::kSecond;
 constexpr Micros kMostAge = 3600 * core::kSecond;
+constexpr std::uint64_t kMostVersion = std::uint64_t{1} << 53;
 constexpr std::size_t kMarks = 40, kMostClocks = 4096, kMostName = 64;
 constexpr std::size_t kMostPackets = 8;  // of news, in answer to one digest
 constexpr std::size_t kMostRow = 48u << 10;
@@ -78,7 +79,7 @@
   seen.set_name(self_.first);
   seen.set_birth(self_.second);
   seen.set_site(site_);
-  seen.set_version(seen_.version(self_) + 1);
+  seen.set_version(std::max(seen_.version(self_), own_seen_) + 1);
   for (fleet::Case& c : cases) *seen.add_cases() = std::move(c);
   seen_.take(now, std::move(seen), 0, 5);
   next_gossip_ = now;
@@ -88,8 +89,8 @@
 
 bool Commons::sane(const fleet::Seen& seen) const {
   if (seen.name().empty() || seen.name().size() > kMostName || seen.site().size() > kMostName ||
-      seen.version() == 0 || seen.birth() == 0 || seen.age_us() < 0 || seen.age_us() > kMostAge ||
-      static_cast<std::size_t>(seen.cases_size()) > set_.most_cases)
+      seen.version() == 0 || seen.version() > kMostVersion || seen.birth() == 0 || seen.age_us() < 0 ||
+      seen.age_us() > kMostAge || static_cast<std::size_t>(seen.cases_size()) > set_.most_cases)
     return false;
   return std::all_of(seen.cases().begin(), seen.cases().end(),
                      [](const fleet::Case& c) { return c.age_us() >= 0 && c.age_us() <= kMostAge; });
@@ -181,10 +182,14 @@
   }
   bool heard = false;
   for (const fleet::Seen& seen : news.seen()) {
-    if (!sane(seen))
+    if (!sane(seen)) {
       wrong = "words of " + seen.name().substr(0, kMostName) + ": numbers that cannot be";
-    else if (seen.name() != self_.first)
+    } else if (seen.name() != self_.first) {
       heard = seen_.take(now, seen, longer, passes(agent)) || heard;
+    } else if (seen.birth() == self_.second) {
+      // Somebody speaks in our name. What we say next goes before it.
+      own_seen_ = std::max<std::uint64_t>(own_seen_, seen.version());
+    }
   }
   if (!wrong.empty()) absurd(agent, from, wrong);
   if (heard) next_opinions_ = now;
--- a/src/shared/commons.h
+++ b/src/shared/commons.h
@@ -81,6 +81,7 @@
   Bank bank_;
   Ledger ledger_;
   Heard<fleet::Seen> seen_;
+  std::uint64_t own_seen_ = 0;  // the highest version that was heard in our name
   struct Clock {
     std::uint64_t birth = 0;
     Micros least = 0;                   // of receiving less sending, on both clocks
--- /dev/null
+++ b/tests/fleet/fleet.h
@@ -0,0 +1,276 @@
+// Routers of one fleet as processes, with a link between each pair; what is common to all tests of fleets.
+#pragma once
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+#include "check.h"
+#include "fleet.pb.h"
+#include "fleet/audit.h"
+#include "fleet/links.h"
+#include "fleet/process.h"
+#include "settings.h"
+#include "stand_ins.h"
+
+namespace flintglade::tests {
+
+using fleet::Audit;
+using fleet::LogLine;
+
+inline std::string g_program;  // the router's
+inline constexpr const char* kJob = "list-reader@hall";
+inline constexpr int kLeaseMs = 800;
+
+inline void pause(int ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
+inline double since(std::chrono::steady_clock::time_point from) {
+  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - from).count();
+}
+inline std::chrono::steady_clock::time_point now() { return std::chrono::steady_clock::now(); }
+inline double percentile(std::vector<double> of, double part) {
+  if (of.empty()) return 0.0;
+  std::sort(of.begin(), of.end());
+  return of[std::min(of.size() - 1, static_cast<std::size_t>(part * static_cast<double>(of.size())))];
+}
+
+inline std::string contents(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  return std::string(std::istreambuf_iterator<char>(in), {});
+}
+
+// What differs from case to case.
+struct Shape {
+  std::size_t replicas = 1, sites = 1;
+  std::string extra;     // in each router's file, in its fleet; '@' becomes a path of that router's own
+  std::string settings;  // empty: kSettings
+};
+
+class Fleet {
+ public:
+  Links links;
+  Discovery discovery;
+  std::vector<std::unique_ptr<Replica>> replicas;
+
+  // One link more than routers: for a process that a case starts itself.
+  Fleet(std::size_t routers, std::size_t voters, std::uint64_t seed, Shape shape = {})
+      : links(routers + 1, seed), voters_(voters), shape_(std::move(shape)) {
+    char name[] = "/tmp/flintglade-owners-XXXXXX";
+    CHECK(::mkdtemp(name) != nullptr);
+    folder = name;
+    for (std::size_t i = 0; i < shape_.replicas; ++i)
+      replicas.push_back(make_replica(Protocol::http, "stream", 1));
+    change("Ready");
+    routers_.resize(routers);
+    for (std::size_t i = 0; i < routers; ++i) {
+      write_file(i);
+      if (i < voters) CHECK(command({"fleet", "init", file(i), "--router", id(i)}) == 0);
+    }
+    for (std::size_t i = 0; i < routers; ++i) start(i);
+  }
+  ~Fleet() {
+    routers_.clear();
+    std::filesystem::remove_all(folder);
+  }
+
+  static std::string id(std::size_t i) { return "n" + std::to_string(i); }
+  std::string file(std::size_t i) const { return folder + "/" + id(i) + ".textproto"; }
+  std::string disk(std::size_t i) const { return folder + "/" + id(i) + ".record"; }
+  std::size_t size() const { return routers_.size(); }
+  // All replicas, in this state.
+  void change(const std::string& state) {
+    std::string entries;
+    for (std::size_t i = 0; i < replicas.size(); ++i)
+      entries += std::string(i > 0 ? "," : "") + "{\"uid\":\"s-" + std::to_string(i) +
+                 "\",\"endpoint\":\"127.0.0.1:" + std::to_string(replicas[i]->port()) +
+                 "\",\"az\":\"hall\",\"model\":\"gpu\",\"pod_group\":0,\"state\":\"" + state +
+                 "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+    discovery.change(entries);
+  }
+
+  void start(std::size_t i) {
+    const std::string config = folder + "/" + id(i) + ".json";
+    std::ofstream(config) << "{\"name\":\"" << id(i)
+                          << "\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" << discovery.port()
+                          << "\",\"seed\":\"" << ++starts_
+                          << "\",\"limits\":{\"memory_mb\":64,\"sockets\":256},\"settings\":"
+                          << (shape_.settings.empty() ? kSettings : shape_.settings) << "}";
+    Start s{g_program, {"serve", "--operator", file(i)}, {{"GW_CONFIG", config}, {"TMPDIR", folder}}, -1};
+    auto p = std::make_unique<Process>(s);
+    unsigned short port = 0;
+    CHECK(within(5000, [&] { return (port = p->port("wire=fleet at=127.0.0.1:")) != 0; }));
+    links.real(i, port);
+    ports_[i] = port;
+    routers_[i] = std::move(p);
+  }
+  void signal(std::size_t i, int which) { routers_[i]->signal(which); }
+  void kill(std::size_t i) {
+    links.real(i, 0);
+    routers_[i]->signal(SIGKILL);
+    int status = 0;
+    CHECK(within(3000, [&] { return routers_[i]->ended(status); }));
+    logs_[i] += routers_[i]->log();
+    routers_[i].reset();
+  }
+  bool runs(std::size_t i) const { return routers_[i] != nullptr; }
+  std::string log(std::size_t i) const {
+    const auto it = logs_.find(i);
+    return (it == logs_.end() ? "" : it->second) + (routers_[i] ? routers_[i]->log() : "");
+  }
+  unsigned short http(std::size_t i) const { return routers_[i]->port("wire=http at=127.0.0.1:"); }
+  std::string address(std::size_t i) const { return "127.0.0.1:" + std::to_string(ports_.at(i)); }
+
+  Audit audit() const {
+    Audit out;
+    for (std::size_t i = 0; i < routers_.size(); ++i) out.read(id(i), log(i));
+    return out;
+  }
+  // The one owner that has started last, if it has not stopped since; of processes that live.
+  int owner() const {
+    const auto owners = audit().owners();
+    const Audit::Owner* last = nullptr;
+    for (const Audit::Owner& o : owners) {
+      if (o.job == kJob && (last == nullptr || o.number >= last->number)) last = &o;
+    }
+    if (last == nullptr || last->why != "its log ends") return -1;
+    for (std::size_t i = 0; i < routers_.size(); ++i) {
+      if (id(i) == last->router && runs(i)) return static_cast<int>(i);
+    }
+    return -1;
+  }
+  std::uint64_t number() const {
+    std::uint64_t most = 0;
+    for (const Audit::Owner& o : audit().owners()) most = std::max(most, o.number);
+    return most;
+  }
+  int wait_owner(std::uint64_t above, int ms, const std::vector<std::size_t>& not_these = {}) {
+    int found = -1;
+    within(ms, [&] {
+      const int o = owner();
+      if (o < 0 || number() <= above) return false;
+      if (std::find(not_these.begin(), not_these.end(), static_cast<std::size_t>(o)) != not_these.end())
+        return false;
+      found = o;
+      return true;
+    });
+    return found;
+  }
+  int leader() const {
+    int found = -1;
+    std::uint64_t term = 0;
+    for (std::size_t i = 0; i < voters_; ++i) {
+      if (!runs(i)) continue;
+      std::istringstream lines(log(i));
+      std::uint64_t leads = 0;
+      for (std::string text; std::getline(lines, text);) {
+        LogLine line;
+        if (!fleet::read_line(text, line)) continue;
+        if (line.event == "leads") leads = std::strtoull(line["term"].c_str(), nullptr, 10);
+        if (line.event == "leads_no_more" || (line.event == "listening" && line["wire"] == "http")) leads = 0;
+      }
+      if (leads > term) {
+        term = leads;
+        found = static_cast<int>(i);
+      }
+    }
+    return found;
+  }
+  std::size_t reads_as(const std::string& state) const {
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < routers_.size(); ++i) {
+      if (!runs(i)) continue;
+      const std::string text = routers_[i]->log();
+      const std::size_t at = text.rfind("event=list_read as=");
+      n += (at == std::string::npos ? "alone" : text.substr(at + 19, text.find('\n', at) - at - 19)) == state;
+    }
+    return n;
+  }
+  // One reads the list, and all the others hear it.
+  void all_follow() const {
+    const bool so =
+        within(15000, [&] { return reads_as("following") == size() - 1 && reads_as("reader") == 1; });
+    if (!so) print_logs();
+    CHECK(so);
+  }
+  // Its exit status; -1: it did not end.
+  int command(const std::vector<std::string>& words) const {
+    Process p(Start{g_program, words, {}, -1});
+    int status = 0;
+    if (!within(15000, [&] { return p.ended(status); })) return -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  // What the router says of itself; of no name if it does not answer.
+  fleet::Status status(std::size_t i) const {
+    fleet::Packet question, answer;
+    question.mutable_query();
+    boost::asio::io_context io;
+    boost::asio::ip::udp::socket socket(io, {boost::asio::ip::udp::v4(), 0});
+    std::array<char, 65536> bytes{};
+    send(socket, i, question);
+    socket.async_receive(boost::asio::buffer(bytes), [&](boost::system::error_code ec, std::size_t n) {
+      if (!ec) answer.ParseFromArray(bytes.data(), static_cast<int>(n));
+    });
+    io.run_for(std::chrono::milliseconds(1000));
+    return answer.status();
+  }
+  // As if it came from a router of the fleet.
+  void forge(std::size_t to, const fleet::Packet& p) const {
+    boost::asio::io_context io;
+    boost::asio::ip::udp::socket socket(io, {boost::asio::ip::udp::v4(), 0});
+    send(socket, to, p);
+  }
+  void sound() const {
+    const Audit a = audit();
+    for (const std::string& b : a.broken()) std::fprintf(stderr, "BROKEN: %s\n", b.c_str());
+    CHECK(a.broken().empty());
+  }
+  void print_logs() const {
+    for (std::size_t i = 0; i < routers_.size(); ++i)
+      std::fprintf(stderr, "== %s\n%s", id(i).c_str(), log(i).c_str());
+  }
+  std::string folder;
+
+ private:
+  void send(boost::asio::ip::udp::socket& socket, std::size_t to, const fleet::Packet& p) const {
+    socket.send_to(boost::asio::buffer(p.SerializeAsString()),
+                   {boost::asio::ip::address_v4::loopback(), ports_.at(to)});
+  }
+  void write_file(std::size_t i) {
+    std::ofstream out(file(i));
+    out << "fleet { name: \"test\" listen: \"127.0.0.1:0\" advertise: \"" << links.at(i) << "\" site: \""
+        << (shape_.sites > 1 ? "hall" + std::to_string(i % shape_.sites) : "hall") << "\"\n"
+        << "directory: \"" << disk(i) << "\" " << (shape_.sites > 1 ? "" : "list_readers: \"hall\"")
+        << " period_s: 0.2 probe_timeout_s: 0.06 lease_s: " << kLeaseMs / 1000.0
+        << " election_s: 0.3 list_silence_s: 0.6\n";
+    for (std::size_t v = 0; v < voters_; ++v)
+      out << "seeds: \"" << links.at(v) << "\" voters { router: \"" << id(v) << "\" id: " << v + 1
+          << " at: \"" << links.at(v) << "\" }\n";
+    std::string extra = shape_.extra;
+    if (const std::size_t at = extra.find("@"); at != std::string::npos)
+      extra.replace(at, 1, folder + "/" + id(i));
+    out << extra << "}\n";
+  }
+  std::size_t voters_;
+  Shape shape_;
+  int starts_ = 0;
+  std::vector<std::unique_ptr<Process>> routers_;
+  std::map<std::size_t, std::string> logs_;
+  std::map<std::size_t, unsigned short> ports_;
+};
+
+inline std::vector<std::size_t> others(const Fleet& fleet, std::size_t but) {
+  std::vector<std::size_t> out;
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    if (i != but) out.push_back(i);
+  }
+  return out;
+}
+
+}  // namespace flintglade::tests
--- a/tests/fleet/sim.cpp
+++ b/tests/fleet/sim.cpp
@@ -31,6 +31,12 @@
   double rate = 1.0;
   Micros offset = 0, paused_until = 0, down_until = 0, next_effect = 0;
   std::map<std::string, std::uint64_t> taken;  // the highest number whose effect it took
+  // What it shares.
+  std::unique_ptr<shared::Commons> commons;
+  std::unique_ptr<shared::Wallet> wallet;
+  shared::Ledger::Counts counts;
+  double weight = 0;  // of all requests
+  Micros next_ask = 0, next_count = 0, unix_ahead = 0;
   Micros local(Micros t) const { return offset + static_cast<Micros>(rate * static_cast<double>(t)); }
 };
 
@@ -44,6 +50,7 @@
  public:
   Play(const World& world, const std::vector<Fault>& faults)
       : world_(world), faults_(faults), random_(world.seed) {
+    if (!world.budgets.empty()) level_ = static_cast<double>(world.budgets[0].burst);
     std::vector<fleet::VoterAt> voters;
     for (unsigned i = 0; i < world.voters; ++i) voters.push_back({name(i), i + 1, at(i)});
     for (unsigned i = 0; i < world.routers; ++i) {
@@ -56,6 +63,8 @@
       for (unsigned j = 0; j < world.jobs; ++j) b.settings.wanted.push_back({"job" + std::to_string(j), ""});
       b.rate = 1.0 + world.drift / 2 * (2.0 * std::uniform_real_distribution<>()(random_) - 1.0);
       b.offset = std::uniform_int_distribution<Micros>(0, 1000 * core::kSecond)(random_);
+      b.weight = 1.0 / (1.0 + i);
+      if (!world.budgets.empty()) b.settings.wanted.push_back({shared::kBankJob, ""});
       if (i < world.voters) {
         b.disk = std::make_unique<MemoryDisk>();
         std::vector<fleet::Voter> first;
@@ -71,7 +80,11 @@
   }
 
   Seen run() {
-    for (now_ = 0; now_ < world_.ends * core::kMilli && seen_.broken.empty(); now_ += kStep) step();
+    for (now_ = 0; now_ < world_.ends * core::kMilli && seen_.broken.empty(); now_ += kStep) {
+      step();
+      share();
+    }
+    if (!world_.budgets.empty() && seen_.broken.empty()) equal_at_the_end();
     if (seen_.broken.empty() && seen_.longest_gap_ms > 8000)
       seen_.broken = "a job stood without an owner at the end" + state();
     return seen_;
@@ -101,6 +114,7 @@
     Box& b = boxes_[i];
     b.settings.self.birth += 1000;
     b.agent = std::make_unique<fleet::Agent>(b.settings, random_());
+    if (!world_.budgets.empty()) start_sharing(i);
     if (b.disk) {
       b.disk->fails = false;
       fleet::Memory memory;
@@ -155,6 +169,10 @@
   }
 
   void flush(std::size_t i) {
+    std::vector<fleet::Agent::Word> words = boxes_[i].agent->words();
+    if (Box& b = boxes_[i]; b.commons) {
+      for (const fleet::Agent::Word& w : words) b.commons->receive(b.local(now_), *b.agent, w);
+    }
     for (peers::Datagram& d : boxes_[i].agent->take()) {
       for (std::size_t to = 0; to < boxes_.size(); ++to) {
         if (at(to) != d.to) continue;
@@ -164,7 +182,7 @@
         if (random_() % 50 == 0) flying_.push_back({now_ + 3 * delay, i, to, d.bytes});  // twice
       }
     }
-    for (const fleet::Agent::Word& w : boxes_[i].agent->words()) {
+    for (const fleet::Agent::Word& w : words) {
       if (w.what != fleet::Agent::Word::What::effect) continue;
       ++seen_.effects;
       std::uint64_t& highest = boxes_[i].taken[w.job];
@@ -195,6 +213,7 @@
       Box& b = boxes_[who];
       if (f.kind == Fault::Kind::pause) b.paused_until = std::max(b.paused_until, until);
       if (f.kind == Fault::Kind::crash && up(who)) {
+        b.commons.reset();
         b.agent.reset();
         b.down_until = until;
         b.paused_until = 0;
@@ -219,6 +238,7 @@
       // A halted voter's process is started again by whoever looks after it.
       if (up(i) && boxes_[i].agent->node() != nullptr && boxes_[i].agent->node()->role() == "halted" &&
           now_ >= world_.faults_until * core::kMilli) {
+        boxes_[i].commons.reset();
         boxes_[i].agent.reset();
         boxes_[i].down_until = now_;
       }
@@ -285,6 +305,140 @@
     }
   }
 
+  // ---- what routers share
+
+  Micros unix_time(const Box& b) const { return 1'700'000'000 * core::kSecond + now_ + b.unix_ahead; }
+
+  void start_sharing(std::size_t i) {
+    Box& b = boxes_[i];
+    shared::Settings set;
+    set.budgets = world_.budgets;
+    set.most_per_s = 4 * world_.asked;
+    shared::Commons::Ports ports;
+    ports.unix_time = [this, i] { return unix_time(boxes_[i]); };
+    ports.parcel = [this, i](const fleet::Parcel& p) { boxes_[i].wallet->parcel(boxes_[i].local(now_), p); };
+    ports.lend = [this, i](const std::string& who, const fleet::Ask& ask) {
+      Box& own = boxes_[i];
+      if (const auto p = own.wallet->lend(own.local(now_), who, ask))
+        own.commons->lent(own.local(now_), *own.agent, who, *p);
+    };
+    ports.opinions = [](std::vector<shared::Opinion>, std::size_t, std::size_t) {};
+    b.commons = std::make_unique<shared::Commons>(set, std::move(ports), b.settings.self, random_());
+    std::vector<shared::Budget> budgets = world_.budgets;
+    for (shared::Budget& budget : budgets) {
+      if (world_.aside_again) budget.aside = 0.6;
+    }
+    b.wallet = std::make_unique<shared::Wallet>(budgets, std::vector<std::string>{"q", "s"},
+                                                b.settings.self.birth, b.local(now_));
+    b.counts.clear();
+  }
+
+  void share() {
+    if (world_.budgets.empty()) return;
+    const shared::Budget& quota = world_.budgets[0];
+    // Clocks may mint at a rate that is off by as much as they are.
+    level_ = std::min<double>(static_cast<double>(quota.burst),
+                              level_ + static_cast<double>(quota.per_s) * (1 + world_.drift) * kStep / 1e6);
+    double weights = 0;
+    for (const Box& b : boxes_) weights += b.weight;
+    for (std::size_t i = 0; i < boxes_.size(); ++i) {
+      Box& b = boxes_[i];
+      if (i == 1 && now_ > world_.faults_until * core::kMilli / 2)
+        b.unix_ahead = static_cast<Micros>(world_.unix_step_s * 1e6);
+      if (!awake(i)) continue;
+      const Micros local = b.local(now_);
+      for (std::uint32_t team = 0; team < 2; ++team) {
+        const double mean = world_.asked * b.weight / weights * kStep / 1e6;
+        for (int n = std::poisson_distribution<>(mean)(random_); n > 0; --n) serve(b, team, local);
+      }
+      if (now_ >= b.next_ask) {
+        b.next_ask = now_ + 50 * core::kMilli;
+        for (const auto& q : b.wallet->questions(local)) b.commons->ask(local, *b.agent, q.ask, q.to_peer);
+        for (const fleet::Return& r : b.wallet->returns()) b.commons->give_back(local, *b.agent, r);
+      }
+      if (now_ >= b.next_count) {
+        b.next_count = now_ + core::kSecond;
+        b.commons->counted(local, b.counts);
+        if (world_.intervals) interval_holds(i);
+      }
+      if (local >= b.commons->next()) b.commons->tick(local, *b.agent);
+      flush(i);
+    }
+  }
+
+  void serve(Box& b, std::uint32_t team, Micros local) {
+    seen_.wanted += team == 0;
+    fleet::Count& c = b.counts[{team == 0 ? "q" : "s", "chat"}];
+    if (b.wallet->spend(local, team, 0).verdict != shared::Wallet::Verdict::within) {
+      c.set_refused(c.refused() + 1);
+      return;
+    }
+    c.set_served(c.served() + 1);
+    ++truth_;
+    if (team == 0) {
+      ++seen_.served;
+      level_ -= shared::kOne;
+      if (level_ < -1) broken("the quota was overspent by " + std::to_string(-level_));
+    } else {
+      const std::uint64_t n = ++windows_[unix_time(Box{}) / world_.budgets[1].window];
+      seen_.stock_served = std::max(seen_.stock_served, n);
+      if (static_cast<shared::Amount>(n) * shared::kOne > world_.budgets[1].whole)
+        broken("a stock of " + std::to_string(world_.budgets[1].whole / shared::kOne) + " was overspent");
+    }
+  }
+
+  std::pair<std::uint64_t, std::uint64_t> served_as_seen_by(const Box& b) const {
+    std::uint64_t least = 0, most = 0;
+    for (const auto& [key, total] : b.commons->ledger().totals(b.local(now_))) {
+      least += total.count.served();
+      most += total.most_served;
+    }
+    return {least, most};
+  }
+
+  void interval_holds(std::size_t i) {
+    const auto [least, most] = served_as_seen_by(boxes_[i]);
+    std::set<std::string> heard;
+    for (const auto& [life, row] : boxes_[i].commons->ledger().rows().all()) heard.insert(life.first);
+    if (least > truth_ || (heard.size() == boxes_.size() && most < truth_))
+      broken(name(i) + " has counts from " + std::to_string(least) + " to " + std::to_string(most) + " of " +
+             std::to_string(truth_));
+  }
+
+  // After the last fault all have the same counts; what lives that were killed never told is less than what
+  // they can have served between two tellings.
+  void equal_at_the_end() {
+    std::set<std::uint64_t> all;
+    for (std::size_t i = 0; i < boxes_.size(); ++i) {
+      boxes_[i].commons->counted(boxes_[i].local(now_), boxes_[i].counts);
+    }
+    for (const Micros end = now_ + 12 * core::kSecond; now_ < end; now_ += kStep) {
+      step();
+      for (std::size_t i = 0; i < boxes_.size(); ++i) {
+        Box& b = boxes_[i];
+        if (b.local(now_) >= b.commons->next()) b.commons->tick(b.local(now_), *b.agent);
+        flush(i);
+      }
+    }
+    std::uint64_t crashes = 0;
+    for (const Fault& f : faults_)
+      crashes += f.kind == Fault::Kind::crash || f.kind == Fault::Kind::disk_fails;
+    std::string text;
+    for (const Box& b : boxes_) {
+      all.insert(served_as_seen_by(b).first);
+      text += " " + std::to_string(served_as_seen_by(b).first);
+      const fleet::Status s = [&] {
+        fleet::Status out;
+        b.commons->status(b.local(now_), *b.agent, out);
+        return out;
+      }();
+      seen_.packets += s.shared().counters().at("sent");
+      seen_.bytes += s.shared().counters().at("bytes_sent");
+    }
+    if (all.size() != 1 || *all.begin() > truth_ || (crashes == 0 && *all.begin() != truth_))
+      broken("at the end counts are" + text + " of " + std::to_string(truth_));
+  }
+
   World world_;
   std::vector<Fault> faults_;
   std::mt19937_64 random_;
@@ -293,6 +447,9 @@
   std::map<std::string, std::string> granted_;
   std::map<std::string, Micros> unowned_;
   Micros now_ = 0;
+  double level_ = 0;  // of a bucket that all requests of the quota together are held to
+  std::uint64_t truth_ = 0;
+  std::map<std::int64_t, std::uint64_t> windows_;
   Seen seen_;
 };
 
--- a/tests/fleet/sim.h
+++ b/tests/fleet/sim.h
@@ -11,6 +11,8 @@
 #include <vector>
 
 #include "fleet/agent.h"
+#include "shared/commons.h"
+#include "shared/wallet.h"
 
 namespace flintglade::tests {
 
@@ -46,13 +48,24 @@
   fleet::LeaseTimes owners, leaders;              // the same, but for a planted fault
   bool disks_forget = false;                      // planted: a voter that crashes loses its last writes
   bool fenced = true;                             // planted: receivers take any number
+
+  // What routers share: a quota and a stock, requests by the thousand, and counts. Off without budgets.
+  std::vector<shared::Budget> budgets;  // a quota of team "q", a stock of team "s"
+  double asked = 200.0;                 // requests a second of each team, unevenly over the routers
+  double unix_step_s = 0.0;             // of one router's Unix time, halfway through the faults
+  bool intervals = false;               // counts are looked at while faults last, too
+  // Planted:
+  bool aside_again = false;  // holders put more aside for themselves than the bank leaves
 };
 
 struct Seen {
   std::string broken;  // the first rule that was broken, with its time; empty: none
   std::size_t grants = 0, effects = 0, refused = 0;
-  double longest_gap_ms = 0;  // of a job without a proved owner, after the faults
-  double gap_ms = 0;          // the longest one in all
+  double longest_gap_ms = 0;             // of a job without a proved owner, after the faults
+  double gap_ms = 0;                     // the longest one in all
+  std::uint64_t served = 0, wanted = 0;  // requests, of the quota
+  std::uint64_t stock_served = 0;        // of the stock, in the fullest window
+  std::uint64_t packets = 0, bytes = 0;  // of what is shared
 };
 
 Seen play(const World& world, const std::vector<Fault>& faults);
