--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -371,18 +371,23 @@
 struct ColdJoin {
   double worst = 0.0, used = 0.0;
 };
-ColdJoin cold_join(int alive, int warm, int joiners, double seconds) {
+// uneven: some routers get ten times the requests of others.
+ColdJoin cold_join(int alive, int warm, int joiners, double seconds, bool uneven = false) {
   Settings set = plain();
-  set.balancers = 100;
+  set.balancers = std::max(100, alive);
   set.cold_from = 0.31;
   set.cold_s = 8.9;
   set.fall_multiple = 2.5;
   set.fall_s = 3.0;
-  const double all = 180.0, each = all / alive, carried = all / 40 * 1.5;  // a fleet of 40 at two thirds
+  const double all = 180.0, carried = all / 40 * 1.5;  // a fleet of 40 at two thirds
+  const auto weight = [uneven](int r) { return uneven ? 1.0 / (1 + r % 10) : 1.0; };
+  double weights = 0.0;
+  for (int r = 0; r < alive; ++r) weights += weight(r);
   std::map<WorkerId, std::vector<double>> sent;
   for (int r = 0; r < alive; ++r) {
     Script s(set, 1000 + static_cast<std::uint64_t>(r));
     s.list(ListKind::cached, fleet(40));
+    const double each = all * weight(r) / weights;
     const double from = s.now, join = from + 20.0 + r % 10 * 0.1;  // each hears of it a little later
     double at = from + 1.0 / each * r / alive;
     for (bool joined = false; at < join + seconds; at += 1.0 / each) {
@@ -429,6 +434,17 @@
 TEST(ColdStart, AZoneThatComesBackColdAlmostAloneIsNotPushedOver) {
   for (const int alive : {100, 5}) EXPECT_LT(cold_join(alive, 4, 4, 6.0).worst, 1.0) << alive << " routers";
 }
+TEST(ColdStart, ThreeHundredRoutersWithUnevenTrafficPushNothingOver) {
+  const ColdJoin zone = cold_join(300, 20, 20, 6.0, true), few = cold_join(300, 38, 2, 6.0, true);
+  EXPECT_LT(zone.worst, 1.0);
+  EXPECT_LT(few.worst, 1.0);
+  EXPECT_GT(zone.used, 0.35);
+  EXPECT_GT(few.used, 0.35);
+  std::printf(
+      "a zone back cold: %.2f of what it could do used, %.2f of the budget at most; two joiners: %.2f, "
+      "%.2f\n",
+      zone.used, zone.worst, few.used, few.worst);
+}
 
 // After a shrink, what is remembered of arrivals was carried by the larger fleet; taken as the few survivors'
 // usual share it let a cold one be sent several times what it could do.
--- a/tests/fuzz/fleet.cpp
+++ b/tests/fuzz/fleet.cpp
@@ -6,6 +6,8 @@
 #include <string>
 
 #include "fleet/agent.h"
+#include "shared/commons.h"
+#include "shared/wallet.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   using namespace flintglade;
@@ -20,6 +22,23 @@
   set.self = {"a", "north", "10.0.0.1:1", 1000};
   set.voters = {{"b", 1, "10.0.0.2:1"}};
   set.wanted = {{"job", ""}};
+  // What routers share, likewise: the messages, and a snapshot of counts as a file.
+  shared::Settings sharing;
+  sharing.hearsay = true;
+  sharing.most_rows = 8;
+  shared::Budget budget;
+  budget.name = budget.team = "t";
+  budget.whole = 1000 * shared::kOne;
+  budget.window = core::kSecond;
+  sharing.budgets = {budget};
+  shared::Wallet wallet(sharing.budgets, {"t"}, 1000, 0);
+  shared::Commons::Ports ports;
+  ports.unix_time = [] { return core::Micros{1'700'000'000'000'000}; };
+  ports.parcel = [&](const fleet::Parcel& part) { wallet.parcel(1000, part); };
+  ports.lend = [&](const std::string& who, const fleet::Ask& ask) { wallet.lend(1000, who, ask); };
+  ports.opinions = [](std::vector<shared::Opinion>, std::size_t, std::size_t) {};
+  shared::Commons commons(sharing, ports, set.self, 1);
+  commons.restore(0, bytes);
   fleet::Agent agent(set, 1);
   agent.start(0);
   fleet::Packet p;
@@ -31,7 +50,11 @@
     agent.receive(now, "10.0.0.2:1", p.SerializeAsString());
     agent.tick(now + 500'000);
     agent.take();
-    agent.words();
+    wallet.spend(now, 0, 0);
+    wallet.questions(now);
+    for (const auto& w : agent.words()) commons.receive(now, agent, w);
+    commons.tick(now + 500'000, agent);
+    if (wallet.held(now, 0) > budget.whole || commons.ledger().rows().all().size() > 8) std::abort();
     agent.events();
   }
   if (agent.peers().others().size() > 16) std::abort();
