--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -1196,5 +1196,46 @@
   EXPECT_EQ(s.finals(2), 1u);
 }
 
+// What others have seen: passed over for a while, not against what it does for us, and never past the end.
+TEST(Warnings, AReplicaThatOthersWarnOfIsPassedOverUntilItServesOrTheWordIsOld) {
+  Script s(plain());
+  s.list(ListKind::cached, fleet(4));
+  std::uint64_t session = 1;
+  const WorkerId home = s.placed(session);
+  s.b.on_warning(s.now, home, 3.0);
+  s.b.on_warning(s.now, 12345, 3.0);  // on nobody's list
+  EXPECT_EQ(s.b.avoided(s.now), 1u);
+  EXPECT_NE(s.placed(session), home);
+  s.run_to(s.now + 3.1);
+  EXPECT_EQ(s.placed(session), home);
+  s.b.on_warning(s.now, home, 1e9);  // no word counts for longer than 10 s
+  s.run_to(s.now + 10.1);
+  EXPECT_EQ(s.placed(session), home);
+  for (const Worker& w : fleet(4)) s.b.on_warning(s.now, w.id, 5.0);
+  EXPECT_NE(s.placed(session), 0u);  // with all of them warned of, one is picked even so
+}
+
+// Who is over its budget goes first when things are tight, by what the host knows.
+TEST(Warnings, ABudgetThatTheHostKnowsGoesBeforeTheQuota) {
+  Settings set = plain();
+  set.tenants = {{0.001, 1.0}};  // by the quota alone everything is excess
+  Script s(set);
+  s.list(ListKind::cached, fleet(2));
+  std::size_t within = 0, over = 0;
+  for (RequestId id = 1; id <= 400; ++id) {
+    s.run_to(s.now + 0.05);
+    Query q = ask(id, id);
+    q.budget = id % 2 == 0 ? Budget::within : Budget::over;
+    s.query(q);
+    (id % 2 == 0 ? within : over) += s.of(Action::busy, id).size();
+    if (s.tries[id] == 0) continue;
+    s.run_to(s.now + (id % 7 < 3 ? 1.5 : 0.01));  // more are late than the module aims at
+    s.accept(id, 0);
+    s.respond(id, 0, Outcome::ok, true);
+  }
+  EXPECT_GT(within, 0u);
+  EXPECT_GT(over, 2 * within);
+}
+
 }  // namespace
 }  // namespace pipitcleat
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -552,6 +552,21 @@
             .find("membership.resolver.tries: not from 1 to 16") != std::string::npos);
   CHECK(said("membership { sources { name: 'a' list {} } rule { spill_below: 0.9 } }")
             .find("spill_below is more than spill_end") != std::string::npos);
+  // Budgets whose parts can't sum.
+  const char* voter = "voters { router: 'a' id: 1 at: '1.2.3.4:5' }";
+  const auto budget = [&](const std::string& b, const char* wrong, const char* voters) {
+    const std::string text = said(std::string("fleet { name: 'f' listen: '127.0.0.1:1' ") + voters +
+                                  " shared { routers: 8 budgets { name: 'b' team: 't' " + b + " } } }");
+    return wrong == nullptr ? text.empty() : text.find(wrong) != std::string::npos;
+  };
+  CHECK(budget("per_s: 5 burst: 100", nullptr, voter) && budget("whole: 1000 window_s: 60", nullptr, voter));
+  CHECK(budget("per_s: 5 burst: 100", "without voters nobody hands out the parts", ""));
+  CHECK(budget("per_s: 5 whole: 9", "budgets[0]: either per_s and burst, or whole and window_s", voter));
+  CHECK(budget("per_s: 5", "burst: there is none", voter) &&
+        budget("whole: 9", "window_s: there is none", voter));
+  CHECK(budget("per_s: 5 burst: 20", "put aside for 8 routers, each would have less than one", voter));
+  CHECK(budget("per_s: 5 burst: 1.5 aside: 0", "the bank would have less than two", voter));
+  CHECK(budget("per_s: 5 burst: 100 aside: 1", "aside: not from 0 to 0.9", voter));
 }
 
 // Each row: the tensors of a request in text form, and what is said of them.
