--- a/src/shared/bank.cpp
+++ b/src/shared/bank.cpp
@@ -6,7 +6,7 @@
 namespace {
 constexpr Micros kForgetDemand = 2 * core::kSecond;
 constexpr Micros kDrawAgain = 300 * core::kMilli;
-constexpr Micros kDrawAhead = 2 * core::kSecond;  // a draw is for the demand of so long
+constexpr Micros kDrawAhead = core::kSecond;  // a draw is for the demand of so long
 constexpr std::size_t kMostHolders = 4096, kMostOut = 65536;
 
 Amount whole_ones(double amount) {
@@ -156,8 +156,8 @@
     for (const auto& [who, h] : a.holders) demand += h.demand;
     const Amount chunk =
         std::clamp<Amount>(static_cast<Amount>(demand * static_cast<double>(kDrawAhead) / 1e6),
-                           std::max<Amount>(kOne, a.budget.bank_whole() / 100),
-                           std::max<Amount>(kOne, a.budget.bank_whole() / 10));
+                           std::max<Amount>(kOne, a.budget.bank_whole() / 200),
+                           std::max<Amount>(kOne, a.budget.bank_whole() / 20));
     if (a.drawing == 0) {
       if (a.dry || a.pool >= static_cast<double>(chunk) / 2) continue;
       a.drawing = ++serial_;
