--- a/src/fleet/agent.cpp
+++ b/src/fleet/agent.cpp
@@ -156,6 +156,12 @@
     words_.push_back(
         {c.starts ? Word::What::starts : Word::What::stops, c.job, c.number, {}, "", 0, {}, "", 0});
   }
+  // Who leads and goes has another voter lead, once its own jobs are given up: else nobody would grant or
+  // renew anything until the others have missed it and held an election.
+  if (leaving_ >= 0 && !handing_ && node_ && node_->leads() && free_of_jobs()) {
+    handing_ = node_->hand_over(now);
+    if (handing_) event("lead_handed_over", {{"term", std::to_string(node_->term())}});
+  }
   std::erase_if(asked_, [now](const auto& a) { return now - a.second.sent > kForgetAsked; });
 }
 
@@ -432,6 +438,10 @@
 bool Agent::left(Micros now) const {
   if (leaving_ < 0) return false;
   if (now - leaving_ > kMostLeaving) return true;
+  return free_of_jobs() && !(handing_ && node_->leads());
+}
+
+bool Agent::free_of_jobs() const {
   for (const Job& j : table().jobs()) {
     if (j.owner() == set_.self.name && j.birth() == swim_.self().birth) return false;
   }
--- a/src/fleet/agent.h
+++ b/src/fleet/agent.h
@@ -109,6 +109,7 @@
     Micros sent = 0;
     bool renew = false;
   };
+  bool free_of_jobs() const;  // by the record
   bool votes() const { return node_ && !node_->halted(); }
   void send(const std::string& at, const Packet& p);
   void settle(Micros now);  // after each turn: leadership, grants, leases
@@ -138,7 +139,7 @@
   std::vector<peers::Datagram> out_;
   std::vector<Event> events_;
   std::vector<Word> words_;
-  bool led_ = false, displaced_ = false, halted_told_ = false, had_leader_ = false;
+  bool led_ = false, handing_ = false, displaced_ = false, halted_told_ = false, had_leader_ = false;
   std::uint64_t effects_sent_ = 0, effects_taken_ = 0, effects_unproved_ = 0;
   std::function<void(Micros, Status&)> add_status_;
 };
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -104,7 +104,8 @@
       Node& node = *self(of).node;
       const Raft message = node.encode(*m);
       if (message.ByteSizeLong() <= kMostInMessage) node.send_(m->server_address, message);
-      node.waiting_.emplace_back([req, cb] { cb(req, 0); });
+      // Nobody waits for the word that hands the lead over.
+      if (cb != nullptr) node.waiting_.emplace_back([req, cb] { cb(req, 0); });
       return 0;
     };
     io.append = [](raft_io* of, raft_io_append* req, const raft_entry entries[], unsigned n,
@@ -374,6 +375,18 @@
   settle();
 }
 
+bool Node::hand_over(Micros now) {
+  now_ = now;
+  if (!leads() || transfers_) return false;
+  transfer_.data = this;
+  const int rc = raft_transfer(&raft_, &transfer_, 0, [](struct raft_transfer* req) {
+    static_cast<Node*>(req->data)->transfers_ = false;
+  });
+  transfers_ = rc == 0;
+  settle();
+  return rc == 0;
+}
+
 // ---- messages
 
 Raft Node::encode(const raft_message& m) const {
--- a/src/fleet/node.h
+++ b/src/fleet/node.h
@@ -51,6 +51,9 @@
   void propose(Micros now, const Command& command, Done done);
   // One at a time; a second one is told to wait. An added voter has all entries before it votes.
   void change(Micros now, const VoterChange& change, Done done);
+  // The leader has another voter lead, one that has all entries, as soon as there is one. False: there is
+  // none to try, or it tries already.
+  bool hand_over(Micros now);
 
   bool leads() const;
   bool halted() const { return !halted_.empty(); }
@@ -101,7 +104,8 @@
   std::string halted_;
   std::deque<std::function<void()>> waiting_;
   std::unique_ptr<Changing> changing_;
-  const Applied* last_applied_ = nullptr;
+  struct raft_transfer transfer_ {};
+  bool transfers_ = false;
   bool started_ = false, closed_ = false;
 };
 
--- a/tests/fleet/owners_test.cpp
+++ b/tests/fleet/owners_test.cpp
@@ -158,6 +158,34 @@
   fleet.sound();
 }
 
+// The leader is told to end: another one leads at once, and jobs of others go on without a gap.
+void leader_leaves(int rounds, std::uint64_t seed) {
+  Fleet fleet(6, 3, seed);
+  CHECK(fleet.wait_owner(0, 10000) >= 0);
+  std::vector<double> took;
+  for (int i = 0; i < rounds; ++i) {
+    CHECK(within(10000, [&] { return fleet.leader() >= 0; }));
+    const auto leader = static_cast<std::size_t>(fleet.leader());
+    const auto from = now();
+    fleet.signal(leader, SIGTERM);
+    CHECK(within(5000,
+                 [&] { return fleet.leader() >= 0 && static_cast<std::size_t>(fleet.leader()) != leader; }));
+    took.push_back(since(from));
+    const bool handed =
+        within(500, [&] { return fleet.log(leader).find("event=lead_handed_over") != std::string::npos; });
+    if (!handed) fleet.print_logs();
+    CHECK(handed);
+    pause(600);
+    fleet.kill(leader);
+    fleet.start(leader);
+    CHECK(fleet.wait_owner(0, 10000) >= 0);
+    fleet.all_follow();
+  }
+  std::printf("the leader ends, to the next one: p50 %.0f ms, most %.0f ms (elections after 300 ms)\n",
+              percentile(took, 0.5), percentile(took, 1.0));
+  fleet.sound();
+}
+
 // All are killed at once and come back; a majority of the disks is lost, and the fleet needs a person.
 void all_at_once(int, std::uint64_t seed) {
   Fleet fleet(5, 3, seed);
@@ -309,8 +337,15 @@
   const int n = argc > 3 ? std::atoi(argv[3]) : 0;
   const std::uint64_t seed = argc > 4 ? std::strtoull(argv[4], nullptr, 10) : 7;
   const std::map<std::string, std::function<void(int, std::uint64_t)>> cases = {
-      {"killed", killed}, {"stopped", stopped}, {"cuts", cuts},         {"all_at_once", all_at_once},
-      {"moved", moved},   {"many", many},       {"one_name", one_name}, {"two_to_three", two_to_three}};
+      {"killed", killed},
+      {"stopped", stopped},
+      {"cuts", cuts},
+      {"all_at_once", all_at_once},
+      {"moved", moved},
+      {"many", many},
+      {"one_name", one_name},
+      {"two_to_three", two_to_three},
+      {"leader_leaves", leader_leaves}};
   const auto it = cases.find(argv[2]);
   if (it == cases.end()) return 2;
   it->second(n, seed);
