--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -21,8 +22,10 @@
 #include "core/broker.h"
 #include "discovery/watch.h"
 #include "handover/parts.h"
+#include "handover/passage.h"
 #include "handover/seats.h"
 #include "http/front.h"
+#include "http/moves.h"
 #include "http/subchannels.h"
 #include "kserve/credentials.h"
 #include "kserve/front.h"
@@ -51,6 +54,8 @@
 // Where clients can't ask for the rest, a stream that is cut off while its replica only paused is lost, and
 // one that leaves its client waiting for 5 s is too. Seen: gaps of over 2 s at many replicas at once.
 constexpr Micros kLongestGap = 4 * core::kSecond;
+// While answers wait for a moment in which they can move.
+constexpr std::chrono::milliseconds kMoveEvery{10};
 constexpr std::chrono::seconds kFirstUnready{1}, kTellUnready{30};
 
 config::Labels labels(const config::Config& config) {
@@ -108,8 +113,8 @@
 }
 
 // Waits until something is ready or an alarm is due, runs what is ready, and takes the core through its turn.
-// before: each turn.
-void run(boost::asio::io_context& io, core::Broker& broker, const std::function<void()>& before,
+// before: each turn; told whether every handler that was ready has run.
+void run(boost::asio::io_context& io, core::Broker& broker, const std::function<void(bool)>& before,
          const std::function<void()>& serving, const std::function<void()>& close_idle) {
   bool closed_idle = false, served = false;
   while (broker.phase() != core::Phase::stopped) {
@@ -119,9 +124,9 @@
     } else {
       io.run_one_until(std::chrono::steady_clock::time_point(std::chrono::microseconds(alarm)));
     }
-    for (int i = 0; i < kMostHandlersATurn && io.poll_one() > 0; ++i) {
-    }
-    before();
+    int handlers = 0;
+    while (handlers < kMostHandlersATurn && io.poll_one() > 0) ++handlers;
+    before(handlers < kMostHandlersATurn);
     broker.turn();
     if (broker.ready() && !std::exchange(served, true)) serving();
     if (broker.phase() == core::Phase::draining && !broker.lingering() && !closed_idle) {
@@ -398,11 +403,38 @@
     });
   };
   tell_unready(kFirstUnready);
-  // Whether another process is there for new clients.
-  const auto succeeded = [&seats] {
-    const auto others = seats.others();
-    return std::any_of(others.begin(), others.end(),
-                       [](const handover::Use& o) { return o.stage == handover::Stage::serving; });
+  // The seat of another process that is there for new clients, if there is one.
+  const auto successor = [&seats]() -> std::optional<std::size_t> {
+    for (const handover::Use& o : seats.others()) {
+      if (o.stage == handover::Stage::serving) return o.seat;
+    }
+    return std::nullopt;
+  };
+  // Answers in their middle go on in the process that serves from now on, whatever time they take.
+  http::Moves moves(broker, http_front, http_subchannels);
+  handover::Passage passage(io);
+  if (seats.seated()) {
+    const std::string why =
+        passage.open(config.scratch, seats.seat(),
+                     [&moves](std::string_view bytes, auto descriptors) { moves.in(bytes, descriptors); });
+    if (!why.empty())
+      log::event(Level::warn, "no_passage", {{"why", why}, {"answers", "end where they began"}});
+  }
+  boost::asio::steady_timer move_again(io);
+  std::optional<std::size_t> heir;  // the seat of the process that gets our answers
+  const auto move_out = [&] {
+    if (!heir) return;
+    moves.out([&](std::string_view bytes, handover::Passage::Descriptors descriptors) {
+      const auto sent = handover::Passage::send(config.scratch, *heir, bytes, descriptors);
+      if (sent == handover::Passage::Sent::never) heir.reset();
+      return sent == handover::Passage::Sent::yes;
+    });
+  };
+  std::function<void()> keep_moving = [&] {
+    move_again.expires_after(kMoveEvery);
+    move_again.async_wait([&](boost::system::error_code ec) {
+      if (!ec && heir) keep_moving();
+    });
   };
   boost::asio::posix::stream_descriptor seat_changes(io);
   std::array<char, 4096> seat_events{};
@@ -428,7 +460,9 @@
     } else {
       log::event(Level::info, "draining", {{"open", broker.open_rpcs()}});
       broker.drain();
-      if (config.accept_fd >= 0 && (!seats.seated() || succeeded())) http_front.stop_accepting();
+      heir = successor();
+      if (heir) keep_moving();
+      if (config.accept_fd >= 0 && (!seats.seated() || heir)) http_front.stop_accepting();
     }
     signals.async_wait(on_signal);
   };
@@ -436,8 +470,9 @@
 
   run(
       io, broker,
-      [&] {
+      [&](bool idle) {
         if (seats.seated()) broker.body_budget(mine().bodies);  // and the others see what this process uses
+        if (idle) move_out();
       },
       [&] { http_front.look(); },
       [&] {
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -89,6 +89,72 @@
 }
 void Broker::list_news(ListNews news) { gathered_.push_back(std::move(news)); }
 
+// ---- answers that move
+// ---------------------------------------------------------------------------------------
+
+std::vector<Broker::Running> Broker::running(Wire wire) const {
+  std::unordered_set<RpcId> busy;
+  for (const Event& event : gathered_) {
+    if (const auto* e = std::get_if<Events>(&event)) busy.insert(e->id.rpc);
+    if (const auto* e = std::get_if<Ended>(&event)) busy.insert(e->id.rpc);
+    if (const auto* e = std::get_if<Rejected>(&event)) busy.insert(e->id.rpc);
+    if (const auto* e = std::get_if<Gone>(&event)) busy.insert(e->id);
+    if (const auto* e = std::get_if<Writable>(&event)) busy.insert(e->id);
+  }
+  std::vector<Running> out;
+  for (const auto& [id, rpc] : rpcs_) {
+    if (rpc.over() || rpc.bound < 0 || rpc.held_up || rpc.request->wire != wire || busy.count(id) > 0)
+      continue;
+    const auto attempts_out =
+        std::count_if(rpc.calls.begin(), rpc.calls.end(), [](const Call& c) { return c.out; });
+    const Call& call = rpc.calls[static_cast<std::size_t>(rpc.bound)];
+    if (attempts_out != 1 || !call.out) continue;
+    out.push_back({id,
+                   {id, static_cast<std::uint32_t>(rpc.bound)},
+                   call.replica,
+                   rpc.came,
+                   rpc.last_event,
+                   rpc.request,
+                   rpc.channel});
+  }
+  return out;
+}
+
+void Broker::moved_out(const Running& r) {
+  Rpc* rpc = nullptr;
+  Call* call = find_out(r.call, rpc);
+  if (call == nullptr || rpc->over()) return;
+  ++counters_.moved_out;
+  call->out = false;
+  close(*rpc);
+  module_.on_gone(to_seconds(now_), r.id, *this);
+  pipitcleat::Response gone;
+  gone.id = r.id;
+  gone.attempt = r.call.attempt;
+  gone.worker = r.replica;
+  gone.outcome = Outcome::moot;  // to this process's module: nothing is learned of how it ends
+  gone.closed = true;
+  module_.on_response(to_seconds(now_), gone, *this);
+  drop_if_done(r.id, *rpc);
+}
+
+RpcId Broker::moved_in(const Running& r) {
+  if (!open_ids_.insert(r.request->trace_id).second) return 0;
+  const RpcId id = ++last_id_;
+  Rpc& rpc = rpcs_[id];
+  rpc.request = r.request;
+  rpc.channel = r.channel;
+  rpc.came = r.came;
+  rpc.deadline = kNever;  // met: it has its first event
+  rpc.last_event = r.last_event;
+  rpc.bound = 0;
+  rpc.calls.push_back({r.replica, r.came, true, false});
+  ++open_;
+  ++counters_.moved_in;
+  wake(r.last_event + set_.stall, StallCheck{{id, 0}});
+  return id;
+}
+
 // ---- the turn
 // -----------------------------------------------------------------------------------------------
 
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -62,6 +62,24 @@
   void call_written() { ++counters_.written; }  // the last byte of an attempt is written; once each
   void list_news(ListNews news);
 
+  // ---- answers that move between processes of one router ----
+  // An answer in its middle: its first event is passed on, and its one attempt runs.
+  struct Running {
+    RpcId id = 0;
+    CallId call;
+    ReplicaId replica = 0;
+    Micros came = 0, last_event = 0;
+    std::shared_ptr<const RpcRequest> request;
+    std::shared_ptr<Channel> channel;
+  };
+  // Those of this wire of which nothing is gathered that the next turn has still to do.
+  std::vector<Running> running(Wire wire) const;
+  // Another process has it: it is nobody's here any more, and no final answer is counted.
+  void moved_out(const Running& r);
+  // Taken from another process; r.id, r.call and the replica's events are the caller's to use if the id given
+  // is not 0. 0, and nothing is taken, where this process has an open RPC of the same trace id.
+  RpcId moved_in(const Running& r);
+
   // ---- the loop ----
   void turn();                // hand what was gathered to the module, then carry out its actions
   Micros next_alarm() const;  // when the next turn is due even if nothing happens
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -18,6 +18,8 @@
   add("overdue", overdue);
   add("gone", gone);
   add("held", held);
+  add("moved_out", moved_out);
+  add("moved_in", moved_in);
   add("calls", calls);
   add("written", written);
   add("second_calls", second_calls);
--- a/src/handover/parts.h
+++ b/src/handover/parts.h
@@ -16,6 +16,7 @@
   Stage stage = Stage::starting;
   std::size_t sockets = 0;  // descriptors held
   std::size_t bodies = 0;   // bytes of request bodies held
+  std::size_t seat = 0;
 };
 
 struct Part {
--- a/src/handover/seats.cpp
+++ b/src/handover/seats.cpp
@@ -132,8 +132,8 @@
     out.push_back({stage == 1   ? Stage::serving
                    : stage == 2 ? Stage::draining
                                 : Stage::starting,
-                   seat.sockets.load(std::memory_order_relaxed),
-                   seat.bodies.load(std::memory_order_relaxed)});
+                   seat.sockets.load(std::memory_order_relaxed), seat.bodies.load(std::memory_order_relaxed),
+                   i});
   }
   return out;
 }
--- a/src/handover/seats.h
+++ b/src/handover/seats.h
@@ -27,6 +27,7 @@
   // process were alone.
   std::string join(const std::string& folder, const std::string& router);
   bool seated() const { return mine_ >= 0; }
+  std::size_t seat() const { return static_cast<std::size_t>(mine_); }  // ours, if we have one
   // For the others to read: no system call.
   void publish(const Use& use);
   // Those of processes that live. A seat that looks taken is asked for with a system call.
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
@@ -158,6 +159,31 @@
     answered();
   }
 
+  // All that was passed on is written, and the client reads on.
+  int describe(handover::Stream& to) {
+    if (rpc_ == 0 || !began_ || writing_ || !out_.empty() || held_up_ || refused_) return -1;
+    to.set_client_unread(boost::beast::buffers_to_string(buffer_.data()));
+    to.set_client_close(close_after_);
+    return socket_.native_handle();
+  }
+  // Another process has the connection too: our end of it goes without a word to the client.
+  void moved_out() {
+    rpc_ = 0;
+    const auto self = shared_from_this();
+    std::exchange(owner_, nullptr)->connections_.erase(self);
+    error_code ignored;
+    socket_.close(ignored);
+  }
+  void move_in(const handover::Stream& from, core::RpcId rpc) {
+    rpc_ = rpc;
+    if (rpc == 0) return drop();
+    looked_ = asked_ = began_ = true;
+    close_after_ = from.client_close();
+    buffer_.commit(
+        asio::buffer_copy(buffer_.prepare(from.client_unread().size()), asio::buffer(from.client_unread())));
+    read();
+  }
+
   bool idle() const { return rpc_ == 0 && out_.empty() && !writing_ && buffer_.size() == 0 && !half_; }
   // When its time is up, as things stand.
   Micros due() const {
@@ -479,6 +505,20 @@
   accepting_ = was_accepting;
 }
 
+int HttpFront::describe(core::Channel& client, handover::Stream& to) {
+  return static_cast<Connection&>(client).describe(to);
+}
+void HttpFront::moved_out(core::Channel& client) { static_cast<Connection&>(client).moved_out(); }
+void HttpFront::move_in(int descriptor, const handover::Stream& from,
+                        const std::function<core::RpcId(std::shared_ptr<core::Channel>)>& go_on) {
+  error_code ec;
+  tcp::socket socket(io_);
+  socket.assign(protocol_of(descriptor), descriptor, ec);
+  const auto connection = std::make_shared<Connection>(*this, std::move(socket));
+  connections_.insert(connection);
+  connection->move_in(from, go_on(connection));
+}
+
 void HttpFront::close_idle() {
   std::vector<std::shared_ptr<Connection>> idle;
   std::copy_if(connections_.begin(), connections_.end(), std::back_inserter(idle),
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -11,6 +11,7 @@
 #include "config/labels.h"
 #include "core/broker.h"
 #include "core/ports.h"
+#include "handover.pb.h"
 #include "http/crowd.h"
 #include "http/due.h"
 
@@ -36,6 +37,14 @@
   std::size_t connections() const { return connections_.size(); }
   // Called when no descriptor is left: gives one back elsewhere.
   void on_exhausted(std::function<bool()> shed) { shed_ = std::move(shed); }
+  // A client whose answer is in its middle and moves to or from another process of this router.
+  // Gives the descriptor, which stays here until moved_out(), and writes what else there is to know; -1: not
+  // at this moment.
+  static int describe(core::Channel& client, handover::Stream& to);
+  static void moved_out(core::Channel& client);
+  // go_on: puts the answer into the core, and gives its id; 0: it cannot go on, and the client sees the end.
+  void move_in(int descriptor, const handover::Stream& from,
+               const std::function<core::RpcId(std::shared_ptr<core::Channel>)>& go_on);
   void close_idle();  // draining: no RPC will come any more on connections that have none
 
  private:
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -20,6 +20,13 @@
   return "";
 }
 
+tcp protocol_of(int descriptor) {
+  int domain = 0;
+  socklen_t size = sizeof domain;
+  ::getsockopt(descriptor, SOL_SOCKET, SO_DOMAIN, &domain, &size);
+  return domain == AF_INET6 ? tcp::v6() : tcp::v4();
+}
+
 std::string adopt(tcp::acceptor& acceptor, int descriptor) {
   const std::string name = "descriptor " + std::to_string(descriptor);
   const auto option = [descriptor](int which, int& value) {
@@ -32,7 +39,7 @@
     return name + " is no listening TCP socket";
   ::fcntl(descriptor, F_SETFD, FD_CLOEXEC);
   error_code ec;
-  acceptor.assign(domain == AF_INET6 ? tcp::v6() : tcp::v4(), descriptor, ec);
+  acceptor.assign(protocol_of(descriptor), descriptor, ec);
   return ec ? name + " cannot be used: " + ec.message() : "";
 }
 
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -15,4 +15,7 @@
 // accept from it; it stays open when they end. Gives an empty string, or one line that says what is wrong.
 std::string adopt(boost::asio::ip::tcp::acceptor& acceptor, int descriptor);
 
+// The protocol of a TCP socket that is open already.
+boost::asio::ip::tcp protocol_of(int descriptor);
+
 }  // namespace flintglade::http
--- a/src/http/sse.h
+++ b/src/http/sse.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace flintglade::http {
@@ -20,6 +21,12 @@
   // them.
   bool spoilt() const { return spoilt_ || partial_.size() > kLongestEvent; }
   std::uint32_t cached_tokens() const { return cached_tokens_; }
+  // What has come of the next event; with cached_tokens(), all there is to go on with elsewhere.
+  const std::string& partial() const { return partial_; }
+  void go_on(std::string partial, std::uint32_t cached_tokens) {
+    partial_ = std::move(partial);
+    cached_tokens_ = cached_tokens;
+  }
 
  private:
   static constexpr std::size_t kLongestEvent = 256u << 10;
--- a/src/http/subchannels.cpp
+++ b/src/http/subchannels.cpp
@@ -3,14 +3,17 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <cstdio>
 #include <functional>
 #include <limits>
 #include <optional>
 
 #include "config/config.h"
+#include "http/listener.h"
 #include "http/sse.h"
 
 namespace flintglade::http {
@@ -50,6 +53,7 @@
     busy_ = true;
     written_ = paused_ = began_ = false;
     head_since_ = core::kNever;
+    promised_ = came_ = 0;
     events_ = {};
     expect_answer();
   }
@@ -144,6 +148,40 @@
     socket_.close(ignored);
   }
 
+  // What the parser knows can be told in a few words once chunks of the answer's body come.
+  int describe(handover::Stream& to) {
+    if (!began_ || !written_ || paused_ || !parser_->chunked() || parser_->is_done() || promised_ == 0)
+      return -1;
+    to.set_replica_unread(boost::beast::buffers_to_string(buffer_.data()));
+    to.set_chunk_left(promised_ - came_);
+    to.set_partial_event(events_.partial());
+    to.set_cached_tokens(events_.cached_tokens());
+    to.set_replica_keeps(parser_->keep_alive());
+    return socket_.native_handle();
+  }
+  // The parser is brought to where the other process's stood: in a chunk of which so much is left, or behind
+  // one.
+  void move_in(core::CallId id, int descriptor, const handover::Stream& from) {
+    assign(id, nullptr, core::kNever / 2);
+    error_code ec;
+    socket_.assign(protocol_of(descriptor), descriptor, ec);
+    std::array<char, 32> chunk{};
+    std::snprintf(chunk.data(), chunk.size(), "%llx\r\n%s",
+                  static_cast<unsigned long long>(std::max<std::uint64_t>(1, from.chunk_left())),
+                  from.chunk_left() == 0 ? "x" : "");
+    const std::string before = std::string("HTTP/1.1 200 OK\r\n") +
+                               (from.replica_keeps() ? "" : "Connection: close\r\n") +
+                               "Transfer-Encoding: chunked\r\n\r\n" + chunk.data();
+    for (std::size_t at = 0; !ec && at < before.size();) at += parser_->put(asio::buffer(before) + at, ec);
+    came_ = parser_->get().body().size();
+    parser_->get().body().clear();
+    events_.go_on(from.partial_event(), from.cached_tokens());
+    connected_ = written_ = began_ = true;
+    buffer_.commit(asio::buffer_copy(buffer_.prepare(from.replica_unread().size()),
+                                     asio::buffer(from.replica_unread())));
+    take(ec);
+  }
+
   Micros idle_since() const { return idle_since_; }
   // Nothing has come in that is not read yet: an end, or what nobody asked for.
   bool silent() {
@@ -178,6 +216,7 @@
     if (parser_->is_header_done() && parser_->get().result() == beast_http::status::ok) {
       // Without a length of its own the end of a stream could not be told from a break.
       if (parser_->need_eof()) return spoil();
+      came_ += parser_->get().body().size();
       pass_on(events_.feed(std::exchange(parser_->get().body(), {})));
       if (events_.spoilt()) return spoil();
     }
@@ -246,12 +285,14 @@
   Micros expires_ = 0, idle_since_ = 0;
   Micros head_since_ = core::kNever;  // the first byte of a head that is not whole yet
   bool busy_ = false, connected_ = false, written_ = false, reading_ = false, paused_ = false, began_ = false;
+  std::uint64_t promised_ = 0, came_ = 0;  // bytes of the answer's chunks: declared, and here
   boost::beast::flat_buffer buffer_;
   std::optional<beast_http::response_parser<beast_http::string_body>> parser_;
   EventStream events_;
   // The parser keeps a reference to it.
   std::function<void(std::uint64_t, boost::beast::string_view, error_code&)> on_chunk_ =
-      [](std::uint64_t size, boost::beast::string_view, error_code& ec) {
+      [this](std::uint64_t size, boost::beast::string_view, error_code& ec) {
+        promised_ += size;
         if (size > kLargestChunk) ec = beast_http::error::bad_chunk;
       };
 };
@@ -312,6 +353,16 @@
   connection->close();
 }
 
+int HttpSubchannels::describe(core::CallId id, handover::Stream& to) const {
+  const auto it = calls_.find(key(id));
+  return it == calls_.end() ? -1 : it->second->describe(to);
+}
+void HttpSubchannels::move_in(core::CallId id, core::ReplicaId replica, int descriptor,
+                              const handover::Stream& from) {
+  const auto connection = calls_[key(id)] = std::make_shared<Connection>(*this, replica);
+  connection->move_in(id, descriptor, from);
+}
+
 void HttpSubchannels::pause(core::CallId id, bool paused) {
   const auto it = calls_.find(key(id));
   if (it != calls_.end()) it->second->pause(paused);
--- a/src/http/subchannels.h
+++ b/src/http/subchannels.h
@@ -11,6 +11,7 @@
 
 #include "core/broker.h"
 #include "core/ports.h"
+#include "handover.pb.h"
 #include "http/due.h"
 
 namespace flintglade::http {
@@ -40,6 +41,11 @@
   // Gives a descriptor back: closes the connection that has been idle longest. False: none is idle.
   bool shed_idle();
   std::size_t connections() const { return connections_; }
+  // An answer in its middle that moves to or from another process of this router, with its connection.
+  // Gives the descriptor, which stays here until cancel(), and writes what else there is to know; -1: not at
+  // this moment.
+  int describe(core::CallId id, handover::Stream& to) const;
+  void move_in(core::CallId id, core::ReplicaId replica, int descriptor, const handover::Stream& from);
 
  private:
   class Connection;
--- a/tests/fleet/load.cpp
+++ b/tests/fleet/load.cpp
@@ -115,11 +115,22 @@
     }
     if (in_.size() < whole) return;
     if (in_.size() > whole) ++owner_.ends_.twice;
+    if (served && owner_.pace_.events > 0 && !in_order()) ++owner_.ends_.torn;
     const bool refused = in_.rfind("HTTP/1.1 503", 0) == 0 || in_.rfind("HTTP/1.1 429", 0) == 0;
     if (served && piece_ >= out_.size()) owner_.ends_.first_ms.push_back(first_ms_);
     const bool keep = owner_.pace_.keep && !last;
     end(served ? &Ends::served : refused ? &Ends::refused : &Ends::failed, keep);
   }
+  bool in_order() const {
+    std::size_t at = 0;
+    for (int n = 0; n < owner_.pace_.events; ++n) {
+      at = in_.find("data: ", at);
+      const std::string event = "data: {\"n\":" + std::to_string(n) + "}\n\n";
+      if (at == std::string::npos || in_.compare(at, event.size(), event) != 0) return false;
+      at += event.size();
+    }
+    return in_.find("data: ", at) == std::string::npos;
+  }
   void end(std::uint64_t Ends::*as, bool keep = false) {
     if (!busy_) return;
     busy_ = false;
--- a/tests/fleet/load.h
+++ b/tests/fleet/load.h
@@ -20,6 +20,7 @@
   int slow_ms = 0;
   bool keep = false;     // on kept connections, a new one when all are busy; else a new one each
   std::size_t body = 2;  // bytes
+  int events = 0;        // of each whole answer, numbered from 0; 0: not looked at
 };
 
 // How requests ended. Each that was written whole is in exactly one of the first five.
@@ -27,6 +28,7 @@
   std::uint64_t served = 0, refused = 0, failed = 0;
   std::uint64_t door = 0;        // its connection was refused or closed without a byte of an answer
   std::uint64_t lost = 0;        // no final answer in time, or a broken one
+  std::uint64_t torn = 0;        // beside that: served, and not just its events in their order
   std::uint64_t twice = 0;       // beside that: more came than one answer
   std::vector<double> first_ms;  // to the first event, of those served that were written in one piece
   std::uint64_t asked() const { return served + refused + failed + door + lost; }
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -7,6 +7,7 @@
 //       break N     N events, then the connection ends
 //       gated       an event now and then until 'release', then the answer is whole
 //       flood N     as stream, with events of 16 KiB
+//       trickle N   as stream, 25 ms between events, each in small pieces
 //       hang        nothing            error    fails       full    turns away: it never ran
 //       refuse      nobody listens     reject  cannot use the request
 //       says BYTES  these to its first request over HTTP (\r, \n and _ for a space), then as stream 1
