--- a/include/pipitcleat/balancer.h
+++ b/include/pipitcleat/balancer.h
@@ -145,6 +145,8 @@
   std::vector<float> report;
 };
 
+struct Learned;  // src/learned.h
+
 class ActionSink {
  public:
   virtual ~ActionSink() = default;
@@ -175,6 +177,12 @@
   // How many of the ready workers it now passes over: out of reach, full, or trusted with less than half of
   // their keys for how they answer. A cold one is not passed over. For whoever watches; changes nothing.
   std::size_t avoided(double now) const;
+  // What it has learned so far, for the Balancer that takes its place in another process; and what such a one
+  // had learned, which goes before all that this one has: picks, admission and budgets go on from there. Both
+  // need the same settings and clock. Replicas that no list has named yet are learned nothing of but their
+  // slots.
+  Learned learned() const;
+  void adopt(double now, Learned from, ActionSink& sink);
 
  private:
   class Impl;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -10,7 +10,7 @@
 #include <map>
 #include <unordered_map>
 
-#include "numeric.h"
+#include "learned.h"
 #include "pipitcleat/balancer.h"
 
 namespace pipitcleat {
@@ -74,13 +74,8 @@
 constexpr std::uint64_t kHedgeAlarm = 1, kHoldAlarm = 2, kListAlarm = 3;  // 0: the request's deadline
 constexpr int kCookieShift = 52;                                          // request ids are below 2^52
 
-struct Replica {
+struct Replica : Known {
   Worker worker;
-  double health = 1.0, health_at = 0.0;     // 1 = answers within its aims; forgets towards 1
-  double cold_tokens = 0.0, cold_at = 0.0;  // work that the cold start budget still allows
-  Stay stay;                                // of this router's attempts
-  double full_until = 0.0, down_until = 0.0;
-  int down = 0;  // connects in a row that failed
   bool ready() const { return worker.health == Health::ready; }
 };
 
@@ -158,20 +153,6 @@
   std::vector<Try> tries;
 };
 
-struct Prefix {
-  Decayed work;
-  int replicas = 1;
-};
-
-struct Zone {
-  double down_until = 0.0;
-  int down = 0;  // connects in a row that failed, to any replica there
-};
-
-struct Wait {  // how long first tokens take in a class, as parts of the aim
-  double mean = 0.2, spread = 0.15;
-};
-
 }  // namespace
 
 std::int32_t jump_hash(std::uint64_t key, std::int32_t buckets) {
@@ -207,12 +188,15 @@
     set_.fall_multiple = sane(set_.fall_multiple, 0.1, 100.0);
     set_.fall_s = sane(set_.fall_s, 0.01, 600.0);
     memory_ = std::max(kMemoryAims * aims / static_cast<double>(set_.classes.size()), 1.0);
-    started_ = now;
+    past_.started = now;
+    past_.widen = kFirstWiden;
+    past_.saved_retries = kRetrySaved;
+    past_.saved_hedges = 1.0;
     now_ = now;
-    waits_.resize(set_.classes.size());
-    class_work_.assign(set_.classes.size(), 1.0);
-    quota_tokens_.assign(set_.tenants.size(), 3.0);
-    quota_at_.assign(set_.tenants.size(), now);
+    past_.waits.resize(set_.classes.size());
+    past_.class_work.assign(set_.classes.size(), 1.0);
+    past_.quota_tokens.assign(set_.tenants.size(), 3.0);
+    past_.quota_at.assign(set_.tenants.size(), now);
     for (const TenantSettings& t : set_.tenants) quotas_ += t.quota_per_s;
     zone_first_ = set_.zones > 1 && set_.price_cross_zone >= kDearCrossing;
   }
@@ -245,6 +229,42 @@
     rebuild();
   }
 
+  // ---- from one process to the next -----------------------------------------------------------------------
+  Learned learned() const {
+    Learned out = past_;
+    for (const Replica& r : replicas_) {
+      if (r.worker.health != Health::gone) out.replicas[r.worker.id] = r;
+    }
+    for (int r : all_.slots) out.slots.push_back(replicas_[r].worker.id);
+    for (int r : own_.slots) out.own_slots.push_back(replicas_[r].worker.id);
+    return out;
+  }
+  // All but what is out: that is counted where it was sent.
+  void adopt(Learned from) {
+    if (from.waits.size() != set_.classes.size() || from.quota_at.size() != set_.tenants.size()) return;
+    from.stay.out = past_.stay.out;
+    for (auto& [kind, stay] : from.kinds) stay.out = past_.kinds[kind].out;
+    for (auto& [id, known] : from.replicas) {
+      const auto it = index_.find(id);
+      if (it == index_.end()) continue;
+      known.stay.out = replicas_[it->second].stay.out;
+      static_cast<Known&>(replicas_[it->second]) = known;
+    }
+    // The slots of leavers come too, or their successors would move everybody's keys.
+    for (auto [ids, table] : {std::pair(&from.slots, &all_), std::pair(&from.own_slots, &own_)}) {
+      if (set_.slots > 0) break;
+      table->slots.clear();
+      for (const WorkerId id : *ids) {
+        const auto [it, fresh] = index_.try_emplace(id, static_cast<int>(replicas_.size()));
+        if (fresh) replicas_.emplace_back().worker.id = id;
+        table->slots.push_back(it->second);
+      }
+      table->standing.assign(table->slots.size(), false);
+    }
+    past_ = std::move(from);
+    rebuild();
+  }
+
   void take_entry(const Worker& w) {
     auto [it, fresh] = index_.try_emplace(w.id, static_cast<int>(replicas_.size()));
     if (fresh) replicas_.emplace_back();
@@ -288,7 +308,7 @@
     std::map<std::uint32_t, std::pair<double, double>> rough;
     for (const Replica& r : replicas_) {
       if (!r.ready()) continue;
-      double& top = live_top_[r.worker.kind];
+      double& top = past_.live_top[r.worker.kind];
       top = std::max(top, r.worker.size);
       rough[r.worker.kind].first += r.worker.size;
       rough[r.worker.kind].second += 1.0;
@@ -300,7 +320,7 @@
       const Worker& w = replicas_[i].worker;
       if (!replicas_[i].ready()) continue;
       const auto& [sum, count] = rough[w.kind];
-      sizes_[i] = set_.weights == WeightSource::live ? live_top_[w.kind] : w.size;
+      sizes_[i] = set_.weights == WeightSource::live ? past_.live_top[w.kind] : w.size;
       if (set_.weights == WeightSource::rough) sizes_[i] = sum / count;
       if (set_.weights == WeightSource::silent) sizes_[i] = 1.0;
       if (by_stay()) sizes_[i] /= std::max(0.25, long_by_kind(w.kind));
@@ -322,15 +342,15 @@
   // ---- how long attempts stay -----------------------------------------------------------------------------
   template <typename Change>
   void change_stays(int index, const Change& change) {
-    for (Stay* s : {&replicas_[index].stay, &kinds_[replicas_[index].worker.kind], &stay_}) {
+    for (Stay* s : {&replicas_[index].stay, &past_.kinds[replicas_[index].worker.kind], &past_.stay}) {
       s->step(now_, memory_);
       change(*s);
     }
   }
   bool by_stay() const { return set_.weights == WeightSource::silent || set_.weights == WeightSource::rough; }
   double long_by_kind(std::uint32_t kind) {  // as a multiple of the fleet's mean
-    const double usual = stay_.mean(1.0, kStaysOfKind);
-    return kinds_[kind].mean(usual, kStaysOfKind) / usual;
+    const double usual = past_.stay.mean(1.0, kStaysOfKind);
+    return past_.kinds[kind].mean(usual, kStaysOfKind) / usual;
   }
 
   // ---- what a replica may take ----------------------------------------------------------------------------
@@ -349,8 +369,8 @@
     if (by_stay() && now_ - sized_ > 1.0) size_replicas();
     const double since = std::min(now_ - refreshed_, 1e6);
     refreshed_ = now_;
-    for (auto& [kind, stay] : kinds_) stay.step(now_, memory_);
-    stay_.step(now_, memory_);
+    for (auto& [kind, stay] : past_.kinds) stay.step(now_, memory_);
+    past_.stay.step(now_, memory_);
     double healths = 0.0, n = 0.0, own = 0.0, all = 0.0;
     fleet_size_ = 0.0;
     for (std::size_t i = 0; i < replicas_.size(); ++i) {
@@ -365,7 +385,7 @@
     }
     // After a loss, or while a release has most replicas down, arrivals are those of the larger fleet; what
     // one replica carries must not be read off the few that are left.
-    fleet_peak_ = std::max(fleet_size_, fleet_peak_ * std::exp(-since / (kFleetMemory * memory_)));
+    past_.fleet_peak = std::max(fleet_size_, past_.fleet_peak * std::exp(-since / (kFleetMemory * memory_)));
     mean_health_ = n > 0.0 ? healths / n : 1.0;
     ready_ = n;
     present_size_ = all;
@@ -377,12 +397,12 @@
   }
   // This router's new requests a second, in units of the mean one.
   double rate() const {
-    const double span = std::clamp(now_ - started_, 1.0, memory_);
-    return arrived_.value(now_, memory_) / (memory_ * (1.0 - std::exp(-span / memory_)));
+    const double span = std::clamp(now_ - past_.started, 1.0, memory_);
+    return past_.arrived.value(now_, memory_) / (memory_ * (1.0 - std::exp(-span / memory_)));
   }
   bool lost(const Replica& r) const {
-    const auto it = zones_.find(r.worker.zone);
-    return now_ < r.down_until || (it != zones_.end() && now_ < it->second.down_until);
+    const auto it = past_.zones.find(r.worker.zone);
+    return now_ < r.down_until || (it != past_.zones.end() && now_ < it->second.down_until);
   }
   double pass_over(int times) {  // jittered: routers that lost the same replica do not try it again in step
     return now_ + kDownFor * (1 << std::min(times - 1, kDownMost)) * (0.5 + unit(seed_ = mix(seed_, 23)));
@@ -390,17 +410,17 @@
   void unreachable(int index) {
     Replica& r = replicas_[index];
     r.down_until = pass_over(++r.down);
-    Zone& z = zones_[r.worker.zone];
+    Zone& z = past_.zones[r.worker.zone];
     if (++z.down >= kZoneRow) z.down_until = pass_over(z.down);
     stale_ = true;
   }
   void reached(int index) {
     replicas_[index].down_until = replicas_[index].down = 0;
-    zones_[replicas_[index].worker.zone] = {};
+    past_.zones[replicas_[index].worker.zone] = {};
   }
   // The share of its keys that a replica keeps: 1 on the ordinary path, less while it is cold or an outlier.
   double share(const Replica& r) const {
-    const double usual = stay_.mean(1.0, kStaysOfKind), own = r.stay.mean(usual, kStaysOfReplica);
+    const double usual = past_.stay.mean(1.0, kStaysOfKind), own = r.stay.mean(usual, kStaysOfReplica);
     return warm(r) * std::min(1.0, health(r) / (kOutlier * mean_health_)) *
            std::min(1.0, kLongStay * usual / own);
   }
@@ -415,7 +435,7 @@
   // a replica of this size gets of this router's work when warm, times how warm it is, times a part of the
   // multiple at which it falls.
   double cold_due(const Replica& r, double size) const {  // in mean requests a second
-    return kColdPart * set_.fall_multiple * warm(r) * part(rate() * size, fleet_peak_);
+    return kColdPart * set_.fall_multiple * warm(r) * part(rate() * size, past_.fleet_peak);
   }
   bool few(const Replica& r) const { return cold_due(r, part(fleet_size_, ready_)) * set_.fall_s < 1.0; }
   bool cold_budget(const Request& q, int index, bool spend) {
@@ -423,7 +443,7 @@
     if (warm(r) >= 1.0) return true;
     const double due = cold_due(r, sizes_[index]), work = q.work;
     // Where most replicas are cold or gone, those left draw more than their usual part of the requests.
-    const double usual = kColdPart * set_.fall_multiple * part(present_size_, fleet_peak_);
+    const double usual = kColdPart * set_.fall_multiple * part(present_size_, past_.fleet_peak);
     if (!spend && few(r) && unit(mix(q.query.id, r.worker.id ^ seed_)) > usual) return false;
     const double most = std::max(1.0, due * set_.fall_s * 0.5);
     r.cold_tokens = std::min(most, r.cold_tokens + due * (now_ - r.cold_at));
@@ -483,11 +503,11 @@
   bool crowded(int index) const {
     if (now_ < replicas_[index].full_until) return true;
     return replicas_[index].stay.out >
-           std::max(kCrowdFrom, kCrowd * part(stay_.out, fleet_size_) * sizes_[index]);
+           std::max(kCrowdFrom, kCrowd * part(past_.stay.out, fleet_size_) * sizes_[index]);
   }
   int pick(const Request& q) {
     refresh();
-    if (zone_first_ && unit(mix(q.key, 0x20e)) < own_part_ * keep_) {
+    if (zone_first_ && unit(mix(q.key, 0x20e)) < own_part_ * past_.keep) {
       const int own = walk(q, own_, 2);
       if (own >= 0) return own;
     }
@@ -505,7 +525,9 @@
   const ClassSettings& klass(const Request& q) const {
     return set_.classes[std::min<std::size_t>(q.query.klass, set_.classes.size() - 1)];
   }
-  Wait& wait(const Request& q) { return waits_[std::min<std::size_t>(q.query.klass, waits_.size() - 1)]; }
+  Wait& wait(const Request& q) {
+    return past_.waits[std::min<std::size_t>(q.query.klass, past_.waits.size() - 1)];
+  }
 
   void on_query(const Query& query) {
     auto [it, fresh] = requests_.try_emplace(query.id);
@@ -519,8 +541,8 @@
     measure(q, prompt);
     choose_key(q, prompt);
     sink_->set_alarm(std::max(0.0, q.query.deadline - now_), query.id);
-    saved_retries_ = std::min(kRetrySaved, saved_retries_ + kRetryRate);
-    saved_hedges_ = std::min(2.0, saved_hedges_ + kHedgeRate);
+    past_.saved_retries = std::min(kRetrySaved, past_.saved_retries + kRetryRate);
+    past_.saved_hedges = std::min(2.0, past_.saved_hedges + kHedgeRate);
     if (shed(q)) return refuse(q);
     advance(q);
   }
@@ -528,13 +550,13 @@
   // Work relative to this router's mean request: the hint where there is one, else by length of the prompt.
   void measure(Request& q, double prompt) {
     const double raw = sane(q.query.hint, 0.0, 1e9) > 0.0 ? q.query.hint : 1.0 + prompt;
-    raw_mean_ = raw_mean_ == 0.0 ? raw : raw_mean_ + 0.02 * (raw - raw_mean_);
-    q.work = std::clamp(raw / raw_mean_, 0.1, 10.0);
-    if (!q.query.is_retry) arrived_.add(now_, memory_, q.work);
+    past_.raw_mean = past_.raw_mean == 0.0 ? raw : past_.raw_mean + 0.02 * (raw - past_.raw_mean);
+    q.work = std::clamp(raw / past_.raw_mean, 0.1, 10.0);
+    if (!q.query.is_retry) past_.arrived.add(now_, memory_, q.work);
     if (q.query.tenant >= set_.tenants.size()) return;
     const double quota = set_.tenants[q.query.tenant].quota_per_s / set_.balancers;
     if (!(quota > 0.0)) return;
-    double &tokens = quota_tokens_[q.query.tenant], &at = quota_at_[q.query.tenant];
+    double &tokens = past_.quota_tokens[q.query.tenant], &at = past_.quota_at[q.query.tenant];
     // A router sees few of a tenant's requests: a deep bucket keeps chance from looking like excess.
     tokens = std::min(std::max(3.0, quota * memory_), tokens + quota * (now_ - at));
     at = now_;
@@ -547,22 +569,22 @@
     const std::uint64_t session = query.key != 0 ? query.key : mix(seed_, query.id);
     if (query.prefix_id == 0 || sane(query.prefix_tokens, 0.0, 1e9) < kPrefixPart * prompt) {
       q.key = mix(session);
-      seen_.add(now_, kHotMemory * memory_, q.work);
+      past_.seen.add(now_, kHotMemory * memory_, q.work);
       return;
     }
     q.key = mix(query.prefix_id);
     q.by_prefix = true;
-    Prefix& p = prefixes_[query.prefix_id];
+    Prefix& p = past_.prefixes[query.prefix_id];
     // A prefix that alone outweighs a replica's fair share is spread over several of its own replicas, by
     // session. A router sees few requests, so its count is drawn towards the usual share: that of the prefix
     // of an average request, which repeats among all requests show soonest.
-    same_ += p.work.value(now_, kHotMemory * memory_);
-    pairs_ += seen_.value(now_, kHotMemory * memory_);
+    past_.same += p.work.value(now_, kHotMemory * memory_);
+    past_.pairs += past_.seen.value(now_, kHotMemory * memory_);
     p.work.add(now_, kHotMemory * memory_, q.work);
-    seen_.add(now_, kHotMemory * memory_, q.work);
-    const double usual = (same_ + 1.0) / (pairs_ + kFirstGuess);
-    const double due =
-        p.work.sum / (seen_.sum + 1.0 / usual) * reach() / kHotPart * (usual * reach() > 1.0 ? widen_ : 1.0);
+    past_.seen.add(now_, kHotMemory * memory_, q.work);
+    const double usual = (past_.same + 1.0) / (past_.pairs + kFirstGuess);
+    const double due = p.work.sum / (past_.seen.sum + 1.0 / usual) * reach() / kHotPart *
+                       (usual * reach() > 1.0 ? past_.widen : 1.0);
     if (due > p.replicas)
       p.replicas = static_cast<int>(std::min(std::ceil(due), std::max(1.0, 0.5 * reach())));
     if (due < 0.6 * p.replicas - 0.6) p.replicas = std::max(1, p.replicas - 1);
@@ -576,10 +598,10 @@
       q.key = mix(query.prefix_id, q.spread);  // of hundreds would carry the whole of a hot prefix
       q.spread = 0;
     }
-    if (prefixes_.size() > kMostPrefixes) {
-      std::erase_if(prefixes_,
+    if (past_.prefixes.size() > kMostPrefixes) {
+      std::erase_if(past_.prefixes,
                     [this](const auto& e) { return e.second.work.value(now_, kHotMemory * memory_) < 1.0; });
-      if (prefixes_.size() > kMostPrefixes) prefixes_.clear();
+      if (past_.prefixes.size() > kMostPrefixes) past_.prefixes.clear();
     }
   }
   double reach() const { return zone_first_ ? std::max(1.0, ready_ / set_.zones) : ready_; }
@@ -589,15 +611,16 @@
   // classes that are worth less for their work are thinned more.
   bool shed(const Request& q) {
     const ClassSettings& c = klass(q);
-    double& work = class_work_[&c - set_.classes.data()];
+    double& work = past_.class_work[&c - set_.classes.data()];
     work += 0.05 * (q.work - work);
     const double value = std::max(1e-9, set_.worth_by_work ? c.worth : c.worth / std::max(0.05, work));
-    mean_value_ = mean_value_ == 0.0 ? value : mean_value_ + 0.05 * (value - mean_value_);
-    if (q.excess) return admit_ < kExcessFrom;
-    return unit(mix(seed_, q.query.id)) > std::pow(admit_, std::clamp(mean_value_ / value, 0.25, 4.0));
+    past_.mean_value = past_.mean_value == 0.0 ? value : past_.mean_value + 0.05 * (value - past_.mean_value);
+    if (q.excess) return past_.admit < kExcessFrom;
+    return unit(mix(seed_, q.query.id)) >
+           std::pow(past_.admit, std::clamp(past_.mean_value / value, 0.25, 4.0));
   }
   double strain() const {
-    return part(late_.value(now_, memory_ * 0.3), judged_.value(now_, memory_ * 0.3) + 3.0);
+    return part(past_.late.value(now_, memory_ * 0.3), past_.judged.value(now_, memory_ * 0.3) + 3.0);
   }
 
   bool may_send(const Request& q) const {
@@ -626,11 +649,11 @@
     if (now_ >= q.query.deadline || !may_send(q)) return any_out(q) ? void() : answer(q);
     if (!q.tries.empty()) {
       // Further attempts come out of a budget: in a storm of failures they would be the larger part of it.
-      if (saved_retries_ < 1.0) return any_out(q) ? void() : answer(q);
+      if (past_.saved_retries < 1.0) return any_out(q) ? void() : answer(q);
     }
     const int index = pick(q);
     if (index >= 0) {
-      if (!q.tries.empty()) saved_retries_ -= 1.0;
+      if (!q.tries.empty()) past_.saved_retries -= 1.0;
       return send(q, index);
     }
     if (any_out(q)) return;
@@ -677,7 +700,7 @@
       sink_->set_alarm(std::min(left, hedge_after(q)), q.query.id | kHedgeAlarm << kCookieShift);
     }
   }
-  bool calm() const { return strain() <= kCalm && saved_hedges_ >= 1.0; }
+  bool calm() const { return strain() <= kCalm && past_.saved_hedges >= 1.0; }
   bool may_retry_later(const Request& q) const { return static_cast<int>(q.tries.size()) < set_.most_tries; }
   double hedge_after(const Request& q) {
     const Wait& w = wait(q);
@@ -709,17 +732,18 @@
     if (q.over && !any_out(q)) requests_.erase(q.query.id);
   }
   void note_late(const Request& q, bool late) {
-    const double answers = judged_.value(now_, memory_ * 0.3) / (memory_ * 0.3);
+    const double answers = past_.judged.value(now_, memory_ * 0.3) / (memory_ * 0.3);
     const double step = kAdmitStep * std::clamp(part(kAnswersASecond, answers), 1.0, kLongestStep);
     if (zone_first_ && !q.tries.empty()) note_zone(q.tries.back().replica, late, step);
     if (!q.excess) {
       const double loss = 1.0 - (q.bound ? klass(q).late_value : 0.0);  // late may be worth a part
-      const double down = std::min(step, kAdmitStep * std::max(1.0, late_.value(now_, memory_ * 0.3)));
-      admit_ = late ? std::max(kLeastAdmitted, admit_ * (1.0 - down * loss))  // one late answer says little
-                    : std::min(1.0, admit_ + step * kLateTarget / (1.0 - kLateTarget));
+      const double down = std::min(step, kAdmitStep * std::max(1.0, past_.late.value(now_, memory_ * 0.3)));
+      // One late answer says little.
+      past_.admit = late ? std::max(kLeastAdmitted, past_.admit * (1.0 - down * loss))
+                         : std::min(1.0, past_.admit + step * kLateTarget / (1.0 - kLateTarget));
     }
-    judged_.add(now_, memory_ * 0.3, 1.0);
-    if (late && !q.excess) late_.add(now_, memory_ * 0.3, 1.0);
+    past_.judged.add(now_, memory_ * 0.3, 1.0);
+    if (late && !q.excess) past_.late.add(now_, memory_ * 0.3, 1.0);
   }
 
   // Late answers from the own zone let more of its keys cross, until a crossing costs as much as it saves,
@@ -727,8 +751,8 @@
   void note_zone(int index, bool late, double step) {
     const bool own = static_cast<int>(replicas_[index].worker.zone) == set_.zone;
     const double price = std::min(0.5, set_.price_cross_zone);
-    keep_ += own ? (late ? -keep_ * step : step * price / (1.0 - price)) : (late ? step : 0.0);
-    keep_ = std::clamp(keep_, 1.0 / set_.zones, 1.0);
+    past_.keep += own ? (late ? -past_.keep * step : step * price / (1.0 - price)) : (late ? step : 0.0);
+    past_.keep = std::clamp(past_.keep, 1.0 / set_.zones, 1.0);
   }
 
   // ---- outcomes -------------------------------------------------------------------------------------------
@@ -792,8 +816,9 @@
       case Outcome::ok:
         if (q->by_prefix) {
           const bool kept = r.note >= 0.5 * q->query.prefix_tokens;
-          widen_ = kept ? std::min(kWidest, widen_ * (1.0 + kWidenStep * kMissTarget / (1.0 - kMissTarget)))
-                        : std::max(1.0, widen_ * (1.0 - kWidenStep));
+          past_.widen =
+              kept ? std::min(kWidest, past_.widen * (1.0 + kWidenStep * kMissTarget / (1.0 - kMissTarget)))
+                   : std::max(1.0, past_.widen * (1.0 - kWidenStep));
         }
         if (!t->started) {
           judge_wait(*q, *t);
@@ -804,7 +829,7 @@
         judge(t->replica, 0.0, 0.35);
         break;
       case Outcome::timeout:
-        if (now_ < q->query.deadline) saved_hedges_ -= 1.0;  // what follows stands for a second copy
+        if (now_ < q->query.deadline) past_.saved_hedges -= 1.0;  // what follows stands for a second copy
         judge(t->replica, 0.0, 0.5);
         break;
       case Outcome::connect_failed:  // it never ran: nothing is known of how it serves
@@ -846,7 +871,7 @@
         if (t.out) judge(t.replica, 0.0, 0.35);  // silent beyond the usual wait: known now, not when it ends
       }
       if (out != 1 || !worth_it || !calm()) return;
-      saved_hedges_ -= 1.0;
+      past_.saved_hedges -= 1.0;
       advance(q);
     } else if (what == kHoldAlarm) {
       if (!any_out(q)) advance(q);
@@ -861,34 +886,20 @@
  private:
   Settings set_;
   std::uint64_t seed_;
-  double now_ = 0.0, started_ = 0.0;
+  double now_ = 0.0;
   double longest_ = 0.0, memory_ = 1.0;
   ActionSink* sink_ = nullptr;
   std::vector<Replica> replicas_;
   std::map<WorkerId, int> index_;
   std::vector<double> sizes_, pulls_;
-  std::map<std::uint32_t, double> live_top_;
-  std::map<std::uint32_t, Stay> kinds_;
-  Stay stay_;
-  double sized_ = 0.0;
-  double largest_ = 0.0;
+  Learned past_;
+  double sized_ = 0.0, largest_ = 0.0, quotas_ = 0.0;
   Table all_, own_;
-  bool zone_first_ = false, subscribed_ = false;
+  bool zone_first_ = false, subscribed_ = false, stale_ = true;
   int list_failures_ = 0;
-  bool stale_ = true;
-  double refreshed_ = -1e300, mean_health_ = 1.0, fleet_size_ = 0.0, fleet_peak_ = 0.0, ready_ = 0.0,
-         own_part_ = 1.0, present_size_ = 0.0;
+  double refreshed_ = -1e300, mean_health_ = 1.0, fleet_size_ = 0.0, ready_ = 0.0, own_part_ = 1.0,
+         present_size_ = 0.0;
   std::unordered_map<RequestId, Request> requests_;  // looked up only, never walked
-  std::map<std::uint64_t, Prefix> prefixes_;
-  std::vector<Wait> waits_;
-  double widen_ = kFirstWiden;
-  double admit_ = 1.0, keep_ = 1.0, mean_value_ = 0.0;
-  std::vector<double> class_work_;
-  std::vector<double> quota_tokens_, quota_at_;
-  Decayed arrived_, seen_, late_, judged_;
-  double same_ = 0.0, pairs_ = 0.0, quotas_ = 0.0;
-  std::map<std::uint32_t, Zone> zones_;
-  double raw_mean_ = 0.0, saved_retries_ = kRetrySaved, saved_hedges_ = 1.0;
 };
 
 Balancer::Balancer(Settings settings, std::uint64_t seed, double now)
@@ -897,26 +908,16 @@
 Balancer::Balancer(Balancer&&) noexcept = default;
 Balancer& Balancer::operator=(Balancer&&) noexcept = default;
 
-void Balancer::on_list(double now, const ListChange& change, ActionSink& sink) {
-  impl_->begin(now, sink).on_list(change);
-}
-void Balancer::on_query(double now, const Query& query, ActionSink& sink) {
-  impl_->begin(now, sink).on_query(query);
-}
-void Balancer::on_accepted(double now, const Accepted& accepted, ActionSink& sink) {
-  impl_->begin(now, sink).on_accepted(accepted);
-}
-void Balancer::on_response(double now, const Response& response, ActionSink& sink) {
-  impl_->begin(now, sink).on_response(response);
-}
-void Balancer::on_gone(double now, RequestId id, ActionSink& sink) { impl_->begin(now, sink).on_gone(id); }
-void Balancer::on_wake(double now, std::uint64_t cookie, ActionSink& sink) {
-  impl_->begin(now, sink).on_wake(cookie);
-}
-void Balancer::on_pong(double now, const Pong&, ActionSink& sink) { impl_->begin(now, sink); }
+void Balancer::on_list(double now, const ListChange& c, ActionSink& s) { impl_->begin(now, s).on_list(c); }
+void Balancer::on_query(double now, const Query& q, ActionSink& s) { impl_->begin(now, s).on_query(q); }
+void Balancer::on_accepted(double t, const Accepted& a, ActionSink& s) { impl_->begin(t, s).on_accepted(a); }
+void Balancer::on_response(double t, const Response& r, ActionSink& s) { impl_->begin(t, s).on_response(r); }
+void Balancer::on_gone(double now, RequestId id, ActionSink& s) { impl_->begin(now, s).on_gone(id); }
+void Balancer::on_wake(double t, std::uint64_t cookie, ActionSink& s) { impl_->begin(t, s).on_wake(cookie); }
+void Balancer::on_pong(double now, const Pong&, ActionSink& s) { impl_->begin(now, s); }
+Learned Balancer::learned() const { return impl_->learned(); }
+void Balancer::adopt(double now, Learned l, ActionSink& s) { impl_->begin(now, s).adopt(std::move(l)); }
 std::size_t Balancer::avoided(double now) const { return impl_->avoided(now); }
-void Balancer::on_peer(double now, std::uint32_t, std::string_view, ActionSink& sink) {
-  impl_->begin(now, sink);
-}
+void Balancer::on_peer(double now, std::uint32_t, std::string_view, ActionSink& s) { impl_->begin(now, s); }
 
 }  // namespace pipitcleat
--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -17,15 +17,14 @@
 #include "admin/server.h"
 #include "commands/clock.h"
 #include "commands/commands.h"
+#include "commands/succession.h"
 #include "config/config.h"
 #include "config/labels.h"
 #include "core/broker.h"
 #include "discovery/watch.h"
 #include "handover/parts.h"
-#include "handover/passage.h"
 #include "handover/seats.h"
 #include "http/front.h"
-#include "http/moves.h"
 #include "http/subchannels.h"
 #include "kserve/credentials.h"
 #include "kserve/front.h"
@@ -54,8 +53,6 @@
 // Where clients can't ask for the rest, a stream that is cut off while its replica only paused is lost, and
 // one that leaves its client waiting for 5 s is too. Seen: gaps of over 2 s at many replicas at once.
 constexpr Micros kLongestGap = 4 * core::kSecond;
-// While answers wait for a moment in which they can move.
-constexpr std::chrono::milliseconds kMoveEvery{10};
 constexpr std::chrono::seconds kFirstUnready{1}, kTellUnready{30};
 
 config::Labels labels(const config::Config& config) {
@@ -326,6 +323,9 @@
     replay.start([&broker] { broker.drain(); });
   }
 
+  std::optional<Succession> succession;
+  if (seats.seated()) succession.emplace(io, clock, broker, http_front, http_subchannels, seats, config);
+
   const auto print_counters = [&] {
     std::vector<log::Field> fields{{"phase", core::to_string(broker.phase())}};
     for (const auto& [name, value] : broker.counters().list()) fields.emplace_back(name, value);
@@ -384,6 +384,7 @@
     if (sources && fresh_file.has_membership())
       sources->reload(fresh_file.membership(), std::move(fresh_specs));
     watch.move(fresh.discovery);
+    if (succession) succession->discovery(fresh.discovery);
     const bool all = fresh.fixed == config.fixed &&
                      operator_file::fixed_part(fresh_file) == operator_file::fixed_part(file);
     log::event(Level::info, "reloaded",
@@ -403,53 +404,7 @@
     });
   };
   tell_unready(kFirstUnready);
-  // The seat of another process that is there for new clients, if there is one.
-  const auto successor = [&seats]() -> std::optional<std::size_t> {
-    for (const handover::Use& o : seats.others()) {
-      if (o.stage == handover::Stage::serving) return o.seat;
-    }
-    return std::nullopt;
-  };
-  // Answers in their middle go on in the process that serves from now on, whatever time they take.
-  http::Moves moves(broker, http_front, http_subchannels);
-  handover::Passage passage(io);
-  if (seats.seated()) {
-    const std::string why =
-        passage.open(config.scratch, seats.seat(),
-                     [&moves](std::string_view bytes, auto descriptors) { moves.in(bytes, descriptors); });
-    if (!why.empty())
-      log::event(Level::warn, "no_passage", {{"why", why}, {"answers", "end where they began"}});
-  }
-  boost::asio::steady_timer move_again(io);
-  std::optional<std::size_t> heir;  // the seat of the process that gets our answers
-  const auto move_out = [&] {
-    if (!heir) return;
-    moves.out([&](std::string_view bytes, handover::Passage::Descriptors descriptors) {
-      const auto sent = handover::Passage::send(config.scratch, *heir, bytes, descriptors);
-      if (sent == handover::Passage::Sent::never) heir.reset();
-      return sent == handover::Passage::Sent::yes;
-    });
-  };
-  std::function<void()> keep_moving = [&] {
-    move_again.expires_after(kMoveEvery);
-    move_again.async_wait([&](boost::system::error_code ec) {
-      if (!ec && heir) keep_moving();
-    });
-  };
-  boost::asio::posix::stream_descriptor seat_changes(io);
-  std::array<char, 4096> seat_events{};
-  std::function<void()> watch_seats = [&] {
-    seat_changes.async_read_some(boost::asio::buffer(seat_events),
-                                 [&](boost::system::error_code ec, std::size_t) {
-                                   if (ec) return;
-                                   http_front.look();
-                                   watch_seats();
-                                 });
-  };
-  if (seats.changes() >= 0) {
-    seat_changes.assign(::dup(seats.changes()));
-    watch_seats();
-  }
+  if (succession) succession->start();
   std::function<void(boost::system::error_code, int)> on_signal = [&](boost::system::error_code ec,
                                                                       int signal) {
     if (ec) return;
@@ -460,9 +415,8 @@
     } else {
       log::event(Level::info, "draining", {{"open", broker.open_rpcs()}});
       broker.drain();
-      heir = successor();
-      if (heir) keep_moving();
-      if (config.accept_fd >= 0 && (!seats.seated() || heir)) http_front.stop_accepting();
+      const bool followed = succession && succession->hand_over();
+      if (config.accept_fd >= 0 && (!succession || followed)) http_front.stop_accepting();
     }
     signals.async_wait(on_signal);
   };
@@ -472,7 +426,7 @@
       io, broker,
       [&](bool idle) {
         if (seats.seated()) broker.body_budget(mine().bodies);  // and the others see what this process uses
-        if (idle) move_out();
+        if (idle && succession) succession->idle();
       },
       [&] { http_front.look(); },
       [&] {
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -89,6 +89,47 @@
 }
 void Broker::list_news(ListNews news) { gathered_.push_back(std::move(news)); }
 
+// ---- between processes
+// ---------------------------------------------------------------------------------------
+
+Broker::Handed Broker::hand() const {
+  Handed out;
+  out.version = version_;
+  for (const auto& [id, entry] : replicas_) {
+    if (entry.replica.health != Health::gone) out.entries.push_back(entry);
+  }
+  for (const auto& [id, word] : retired_) {
+    if (now_ < word.since + set_.list_lag) out.retired.push_back({id, word.since, word.version});
+  }
+  out.learned = module_.learned();
+  return out;
+}
+
+void Broker::adopt(Handed from, bool same_list) {
+  now_ = clock_.now();
+  ++counters_.adopted;
+  const bool ours = same_list ? from.version <= version_ : listed_;
+  heard_ = listed_ = true;
+  for (const Handed::Word& word : from.retired) {
+    const auto held = replicas_.find(word.replica);
+    if (ours && held != replicas_.end() && held->second.replica.health == Health::ready) continue;
+    Retired& retired = retired_.try_emplace(word.replica, Retired{word.since, word.version}).first->second;
+    retired.since = std::min(retired.since, word.since);
+    for (Subchannels* s : subchannels_) {
+      if (s != nullptr && held != replicas_.end()) s->update(held->second, retired.since + set_.drain_grace);
+    }
+  }
+  if (!ours) {
+    ListNews news;
+    news.kind = ListKind::cached;  // no watch of ours has brought it: the module still asks
+    news.version = from.version;
+    news.entries = std::move(from.entries);
+    take(news);
+  }
+  serve_if_ready();
+  module_.adopt(to_seconds(now_), std::move(from.learned), *this);
+}
+
 // ---- answers that move
 // ---------------------------------------------------------------------------------------
 
@@ -356,6 +397,7 @@
   if (trace_)
     trace_({Trace::What::list, 0, 0, 0, kKinds[static_cast<std::size_t>(e.kind)], 0, e.entries.size()});
   if (e.kind != ListKind::cached) heard_ = true;
+  if (e.kind != ListKind::failed) version_ = e.version;
   if (e.kind == ListKind::full || e.kind == ListKind::delta) listed_ = true;
   pipitcleat::ListChange change;
   change.kind = e.kind;
@@ -393,10 +435,14 @@
         s->update(entry, retired == retired_.end() ? kNever : retired->second.since + set_.drain_grace);
     }
   }
-  if (phase_ == Phase::starting && heard_ && replicas_of(Health::ready) > 0) phase_ = Phase::serving;
+  serve_if_ready();
   module_.on_list(to_seconds(now_), change, *this);
 }
 
+void Broker::serve_if_ready() {
+  if (phase_ == Phase::starting && heard_ && replicas_of(Health::ready) > 0) phase_ = Phase::serving;
+}
+
 // Discovery that has moved may tell a whole list that is older than the word of a drain: believed, it would
 // send new work to a replica that was told to drain. A replica that has started anew is another matter.
 const Broker::Retired* Broker::overtaken_by(const Endpoint& entry, const ListNews& news) const {
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -17,6 +17,7 @@
 
 #include "core/counters.h"
 #include "core/ports.h"
+#include "learned.h"
 #include "pipitcleat/balancer.h"
 
 namespace flintglade::core {
@@ -62,7 +63,25 @@
   void call_written() { ++counters_.written; }  // the last byte of an attempt is written; once each
   void list_news(ListNews news);
 
-  // ---- answers that move between processes of one router ----
+  // ---- between processes of one router ----
+  // What the process that goes knows, for the one that takes its place. Times are on the clock of both.
+  struct Handed {
+    std::uint32_t version = 0;  // of the list
+    std::vector<Endpoint> entries;
+    struct Word {
+      ReplicaId replica = 0;
+      Micros since = 0;
+      std::uint32_t version = 0;
+    };
+    std::vector<Word> retired;  // since when it was known to drain or be gone
+    pipitcleat::Learned learned;
+  };
+  Handed hand() const;
+  // same_list: versions of its list can be compared with those of ours. A list of ours that is as new stays
+  // in force, and the times of drains go back to the first word that either heard.
+  void adopt(Handed from, bool same_list);
+
+  // Answers that move.
   // An answer in its middle: its first event is passed on, and its one attempt runs.
   struct Running {
     RpcId id = 0;
@@ -230,6 +249,7 @@
   void ring(const Alarm& alarm);
   void wake(Micros at, What what);
   void give_up(RpcId id);
+  void serve_if_ready();
   const Retired* overtaken_by(const Endpoint& entry, const ListNews& news) const;  // null: by no word
   Micros drained_at() const;
   std::size_t replicas_of(pipitcleat::Health health) const;
@@ -261,6 +281,7 @@
   std::unordered_map<ReplicaId, Retired> retired_;  // since when a replica is known to drain or be gone
   bool heard_ = false;                              // the list has answered, or failed to
   bool listed_ = false;                             // the list has answered
+  std::uint32_t version_ = 0;                       // of the list held
   RpcId last_id_ = 0;
   std::size_t open_ = 0;  // RPCs without a final answer
   Micros answered_ = 0;   // when the last final answer was given
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -20,6 +20,7 @@
   add("held", held);
   add("moved_out", moved_out);
   add("moved_in", moved_in);
+  add("adopted", adopted);
   add("calls", calls);
   add("written", written);
   add("second_calls", second_calls);
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -33,6 +33,7 @@
   std::uint64_t held = 0;                   // calls of theirs that count as their replicas' work for a while
   std::uint64_t moved_out = 0;              // answers that another process of this router went on with
   std::uint64_t moved_in = 0;               // and such that this one went on with
+  std::uint64_t adopted = 0;                // times that what another process knew was taken over
   std::uint64_t calls = 0;                  // call attempts sent
   std::uint64_t written = 0;                // of them, those whose last byte was written to the replica
   std::vector<Answers> answers;             // by class, in the order of the settings
--- a/src/handover/parts.h
+++ b/src/handover/parts.h
@@ -17,6 +17,7 @@
   std::size_t sockets = 0;  // descriptors held
   std::size_t bodies = 0;   // bytes of request bodies held
   std::size_t seat = 0;
+  std::uint64_t joined = 0;  // which of those that ever took a seat it is: later ones have higher numbers
 };
 
 struct Part {
--- a/src/handover/seats.cpp
+++ b/src/handover/seats.cpp
@@ -6,6 +6,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <cstring>
@@ -35,7 +36,7 @@
 
 struct alignas(64) Seats::Seat {
   std::atomic<std::uint32_t> taken, stage;
-  std::atomic<std::uint64_t> sockets, bodies;
+  std::atomic<std::uint64_t> sockets, bodies, joined;
 };
 
 struct Seats::Page {
@@ -106,14 +107,30 @@
     if (!held(i)) page_->seats[i].taken = 0;  // of the dead; while they are, each look asks the kernel
   }
   publish({});
+  std::uint64_t last = 0;
+  for (const Seat& seat : page_->seats) last = std::max(last, seat.joined.load());
+  page_->seats[mine_].joined = last + 1;
   page_->seats[mine_].taken = 1;
   notify_ = ::inotify_init1(IN_NONBLOCK | IN_CLOEXEC);
   if (notify_ >= 0) ::inotify_add_watch(notify_, path.c_str(), IN_OPEN | IN_CLOSE_WRITE);
+  if (notify_ >= 0) ::inotify_add_watch(notify_, path.substr(0, path.rfind('/')).c_str(), IN_MOVED_TO);
   door.l_type = F_UNLCK;
   ::fcntl(file_, F_OFD_SETLK, &door);
+  // The others saw the file being opened when the seat was not taken yet.
+  if (const int again = ::open(path.c_str(), O_RDWR | O_CLOEXEC); again >= 0) ::close(again);
   return "";
 }
 
+bool Seats::moved(const char* events, std::size_t size, const std::string& name) {
+  for (std::size_t at = 0; at + sizeof(inotify_event) <= size;) {
+    inotify_event event;
+    std::memcpy(&event, events + at, sizeof event);
+    at += sizeof event + event.len;
+    if (at <= size && (event.mask & IN_MOVED_TO) != 0 && name == events + at - event.len) return true;
+  }
+  return false;
+}
+
 void Seats::publish(const Use& use) {
   if (!seated()) return;
   Seat& seat = page_->seats[mine_];
@@ -133,7 +150,7 @@
                    : stage == 2 ? Stage::draining
                                 : Stage::starting,
                    seat.sockets.load(std::memory_order_relaxed), seat.bodies.load(std::memory_order_relaxed),
-                   i});
+                   i, seat.joined.load(std::memory_order_relaxed)});
   }
   return out;
 }
--- a/src/handover/seats.h
+++ b/src/handover/seats.h
@@ -32,9 +32,11 @@
   void publish(const Use& use);
   // Those of processes that live. A seat that looks taken is asked for with a system call.
   std::vector<Use> others() const;
-  // A descriptor that becomes readable when somebody joins or leaves, for a loop to wait on, and to read
-  // empty; owned here. -1: none.
+  // A descriptor that becomes readable when somebody joins or leaves, or a file is moved into the folder, for
+  // a loop to wait on, and to read empty; owned here. -1: none.
   int changes() const { return notify_; }
+  // Whether what was read from it says that a file of this name was moved into the folder.
+  static bool moved(const char* events, std::size_t size, const std::string& name);
 
  private:
   struct Seat;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -2,6 +2,7 @@
 #include <cmath>
 
 #include "bench.h"
+#include "learned.h"
 
 namespace pipitcleat {
 namespace {
@@ -1076,6 +1077,78 @@
   }
 }
 
+// ---- from one process to the next -------------------------------------------------------------------------
+
+// After a release that left a tombstone and a replica that fails, with admission down: the successor of this
+// process places each key where it did, passes over the same replica and refuses as much; one that was told
+// nothing does not.
+TEST(Handover, ASuccessorGoesOnWhereTheOldOneStood) {
+  Settings set = plain();
+  set.retry_after = true;
+  Script old(set, 1), heir(set, 2), fresh(set, 2);
+  auto workers = fleet(9);
+  old.list(ListKind::cached, workers);
+  Worker gone = workers[2];
+  gone.health = Health::gone;
+  old.list(ListKind::delta, {gone});
+  workers.erase(workers.begin() + 2);
+  for (RequestId id = 1; id <= 60; ++id) {
+    old.run_to(old.now + 0.05);
+    old.query(ask(id, mixed(id)));
+    if (old.of(Action::attempt, id).empty()) continue;
+    old.run_to(old.now + (id % 3 == 0 ? 1.05 : 0.1));
+    old.accept(id, 0);
+    old.respond(id, 0, Outcome::ok, true);
+  }
+  const WorkerId bad = workers[4].id;
+  std::uint64_t there = 1;
+  while (old.placed(there) != bad) ++there;
+  for (RequestId id = 101; id <= 104; ++id) {
+    old.query(ask(id, there));
+    for (const Action& a : old.of(Action::attempt, id))
+      old.respond(id, 0, a.worker == bad ? Outcome::reset : Outcome::cancelled, true);
+  }
+  for (Script* s : {&heir, &fresh}) {
+    s->run_to(old.now);
+    s->list(ListKind::cached, workers);
+  }
+  heir.b.adopt(heir.now, old.b.learned(), heir);
+  for (Script* s : {&old, &heir, &fresh}) {
+    s->run_to(s->now + 0.2);
+    s->placed(there);
+  }
+  EXPECT_GE(old.b.avoided(old.now), 1u);
+  EXPECT_EQ(heir.b.avoided(heir.now), old.b.avoided(old.now));
+  EXPECT_EQ(fresh.b.avoided(fresh.now), 0u);
+  EXPECT_EQ(heir.b.learned().admit, old.b.learned().admit);
+  EXPECT_LT(heir.b.learned().admit, 0.95);
+  int moved = 0, all = 0, differ = 0;
+  for (std::uint64_t session = 1; session <= 400; ++session) {
+    const WorkerId before = old.placed(session);
+    if (before == 0) continue;
+    const WorkerId after = heir.placed(session), without = fresh.placed(session);
+    if (after == 0) continue;   // refused by its own draw
+    differ += after != before;  // each refuses by its own draw, so that what they see parts slowly
+    moved += without != before;
+    ++all;
+  }
+  EXPECT_GT(all, 100);
+  EXPECT_LE(differ, all / 50);
+  EXPECT_GT(moved, all / 4);
+}
+
+// Settings that differ say different things by the same places: nothing is taken.
+TEST(Handover, NothingIsTakenFromOtherSettings) {
+  Settings two = plain();
+  two.classes.push_back(two.classes[0]);
+  Script a(two), b(plain());
+  b.list(ListKind::cached, fleet(5));
+  const auto before = placements(b);
+  a.list(ListKind::cached, fleet(9));
+  b.b.adopt(b.now, a.b.learned(), b);
+  EXPECT_EQ(placements(b), before);
+}
+
 TEST(Determinism, IdenticalEventsGiveIdenticalActions) {
   const auto play = [] {
     Script s(plain(), 9);
