--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -414,8 +414,8 @@
       reload();
     } else {
       log::event(Level::info, "draining", {{"open", broker.open_rpcs()}});
-      broker.drain();
       const bool followed = succession && succession->hand_over();
+      broker.drain(followed);
       if (config.accept_fd >= 0 && (!succession || followed)) http_front.stop_accepting();
     }
     signals.async_wait(on_signal);
@@ -427,6 +427,7 @@
       [&](bool idle) {
         if (seats.seated()) broker.body_budget(mine().bodies);  // and the others see what this process uses
         if (idle && succession) succession->idle();
+        if (broker.phase() == core::Phase::draining) broker.expecting(http_front.half_read());
       },
       [&] { http_front.look(); },
       [&] {
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -96,10 +96,10 @@
   Handed out;
   out.version = version_;
   for (const auto& [id, entry] : replicas_) {
-    if (entry.replica.health != Health::gone) out.entries.push_back(entry);
-  }
-  for (const auto& [id, word] : retired_) {
-    if (now_ < word.since + set_.list_lag) out.retired.push_back({id, word.since, word.version});
+    const auto word = retired_.find(id);
+    const bool fresh = word != retired_.end() && now_ < word->second.since + set_.list_lag;
+    if (fresh) out.retired.push_back({id, word->second.since, word->second.version});
+    if (fresh || entry.replica.health != Health::gone) out.entries.push_back(entry);
   }
   out.learned = module_.learned();
   return out;
@@ -112,7 +112,7 @@
   heard_ = listed_ = true;
   for (const Handed::Word& word : from.retired) {
     const auto held = replicas_.find(word.replica);
-    if (ours && held != replicas_.end() && held->second.replica.health == Health::ready) continue;
+    if (ours && (held == replicas_.end() || held->second.replica.health == Health::ready)) continue;
     Retired& retired = retired_.try_emplace(word.replica, Retired{word.since, word.version}).first->second;
     retired.since = std::min(retired.since, word.since);
     for (Subchannels* s : subchannels_) {
@@ -237,9 +237,10 @@
   set_.cancel_hold = cancel_hold;
 }
 
-void Broker::drain() {
+void Broker::drain(bool followed) {
   if (phase_ == Phase::draining || phase_ == Phase::stopped) return;
   phase_ = Phase::draining;
+  followed_ = followed;
   drain_from_ = clock_.now();
   for (const auto& [id, rpc] : rpcs_) {
     for (std::uint32_t i = 0; rpc.over() && i < rpc.calls.size(); ++i) wake(drain_from_, HoldEnd{{id, i}});
@@ -248,7 +249,11 @@
 }
 // Seen on a rolling restart: a process that ends resets its connections, and answers that it had just given
 // were lost on their way.
-Micros Broker::drained_at() const { return std::max(drain_from_ + set_.linger, answered_) + set_.last_words; }
+Micros Broker::drained_at() const {
+  const Micros quiet = half_read_ > 0 ? takes_until() : drain_from_ + set_.linger;
+  return std::max(quiet, answered_) + set_.last_words;
+}
+Micros Broker::takes_until() const { return drain_from_ + (followed_ ? set_.long_linger : set_.linger); }
 bool Broker::lingering() const { return phase_ == Phase::draining && now_ < drain_from_ + set_.linger; }
 
 std::string Broker::unready_because() const {
@@ -281,7 +286,7 @@
   // The bodies of waiting RPCs are the router's largest use of memory; past the budget a new one is refused
   // on the spot, rather than the process be killed with all it holds. So is one that comes on a connection
   // kept for long into a drain: it could be open still when the process is killed, and would be lost.
-  const bool too_late = phase_ == Phase::draining && !lingering();
+  const bool too_late = phase_ == Phase::draining && now_ >= takes_until();
   if (too_late || body_bytes_ + e.request->body.size() > set_.body_budget) {
     ++(too_late ? counters_.unavailable : counters_.overloaded);
     ++count(e.request->klass).refused;
@@ -447,10 +452,12 @@
 // send new work to a replica that was told to drain. A replica that has started anew is another matter.
 const Broker::Retired* Broker::overtaken_by(const Endpoint& entry, const ListNews& news) const {
   const auto it = retired_.find(entry.replica.id);
-  if (it == retired_.end() || entry.replica.health != Health::ready) return nullptr;
+  const auto held = replicas_.find(entry.replica.id);
+  if (it == retired_.end() || held == replicas_.end() || entry.replica.health != Health::ready)
+    return nullptr;
   const Retired& retired = it->second;
   const bool overtaken = news.version < retired.version && now_ < retired.since + set_.list_lag &&
-                         entry.replica.born <= replicas_.at(entry.replica.id).replica.born;
+                         entry.replica.born <= held->second.replica.born;
   return overtaken ? &retired : nullptr;
 }
 
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -32,6 +32,7 @@
   Micros stall = 2 * kSecond;           // a stream without an event for this long has broken
   Micros list_lag = 10 * kSecond;       // no list is older than this; discovery's own lag is under 6 s
   Micros linger = 600 * kMilli;         // how long a draining router goes on taking new RPCs
+  Micros long_linger = 2400 * kMilli;   // the same where answers can go on in another process
   Micros drain_limit = 3400 * kMilli;   // and by when what it took has its first event or an answer
   Micros last_words = 300 * kMilli;     // from its last answer to its end, for it to reach its client
   Micros cancel_hold = 0;  // how long a call that its client gave up counts as its replica's work
@@ -111,8 +112,13 @@
   void reload(Micros drain_grace, Micros answer_grace,
               Micros cancel_hold = 0);  // for what happens from now on
   void reload_refused() { ++counters_.reloads_refused; }
-  void drain();            // SIGTERM: finish what is here, and what still comes, then stop
+  // SIGTERM: finish what is here, and what still comes, then stop. followed: another process serves, and
+  // answers move there once they have begun; so requests that are half read by now can be waited for.
+  void drain(bool followed = false);
   bool lingering() const;  // draining, and clients may still come
+  void expecting(std::size_t half) {
+    half_read_ = half;
+  }  // clients in the middle of a request, while draining
   std::size_t open_rpcs() const { return open_; }
   std::size_t body_bytes() const { return body_bytes_; }
   void body_budget(std::size_t bytes) { set_.body_budget = bytes; }  // for what comes from now on
@@ -252,6 +258,7 @@
   void serve_if_ready();
   const Retired* overtaken_by(const Endpoint& entry, const ListNews& news) const;  // null: by no word
   Micros drained_at() const;
+  Micros takes_until() const;  // in a drain
   std::size_t replicas_of(pipitcleat::Health health) const;
   Rpc* find(RpcId id);
   Call* find_out(CallId id, Rpc*& rpc);
@@ -277,6 +284,8 @@
   Micros now_ = 0;
   Phase phase_ = Phase::starting;
   Micros drain_from_ = kNever;
+  bool followed_ = false;
+  std::size_t half_read_ = 0;
   std::unordered_map<ReplicaId, Endpoint> replicas_;
   std::unordered_map<ReplicaId, Retired> retired_;  // since when a replica is known to drain or be gone
   bool heard_ = false;                              // the list has answered, or failed to
--- a/src/handover/state.cpp
+++ b/src/handover/state.cpp
@@ -248,7 +248,9 @@
     e.replica.zone = from.zone();
     e.replica.kind = from.kind();
     e.replica.cell = from.cell();
-    e.replica.health = from.health() == 1 ? pipitcleat::Health::ready : pipitcleat::Health::draining;
+    e.replica.health = from.health() == 1   ? pipitcleat::Health::ready
+                       : from.health() == 2 ? pipitcleat::Health::draining
+                                            : pipitcleat::Health::gone;
     e.replica.size = from.size();
     // By the reader's own offset, as the list will tell it: the same start may not look like another.
     if (from.born_unix_us() != 0)
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -171,8 +171,7 @@
     rpc_ = 0;
     const auto self = shared_from_this();
     std::exchange(owner_, nullptr)->connections_.erase(self);
-    error_code ignored;
-    socket_.close(ignored);
+    leave(socket_);
   }
   void move_in(const handover::Stream& from, core::RpcId rpc) {
     rpc_ = rpc;
@@ -194,6 +193,7 @@
     if (asked_) return since_ + kHalfRequest;
     return connected_ + (half_ ? kFirstRequest : kSilent);
   }
+  bool half_read() const { return half_ && rpc_ == 0 && !refused_; }
   bool quiet(Micros now) const { return idle() && asked_ && now - since_ > kQuiet; }
   Client client() const {
     const bool busy = rpc_ != 0 || writing_ || !out_.empty() || !looked_;
@@ -519,6 +519,11 @@
   connection->move_in(from, go_on(connection));
 }
 
+std::size_t HttpFront::half_read() const {
+  return static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(), [](const auto& c) { return c->half_read(); }));
+}
+
 void HttpFront::close_idle() {
   std::vector<std::shared_ptr<Connection>> idle;
   std::copy_if(connections_.begin(), connections_.end(), std::back_inserter(idle),
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -45,7 +45,8 @@
   // go_on: puts the answer into the core, and gives its id; 0: it cannot go on, and the client sees the end.
   void move_in(int descriptor, const handover::Stream& from,
                const std::function<core::RpcId(std::shared_ptr<core::Channel>)>& go_on);
-  void close_idle();  // draining: no RPC will come any more on connections that have none
+  std::size_t half_read() const;  // clients in the middle of a request
+  void close_idle();              // draining: no RPC will come any more on connections that have none
 
  private:
   class Connection;
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace flintglade::http {
 
@@ -27,6 +28,12 @@
   return domain == AF_INET6 ? tcp::v6() : tcp::v4();
 }
 
+void leave(tcp::socket& socket) {
+  error_code ec;
+  const int descriptor = socket.release(ec);  // takes it out of the epoll set
+  if (!ec) ::close(descriptor);
+}
+
 std::string adopt(tcp::acceptor& acceptor, int descriptor) {
   const std::string name = "descriptor " + std::to_string(descriptor);
   const auto option = [descriptor](int which, int& value) {
--- a/src/http/moves.cpp
+++ b/src/http/moves.cpp
@@ -16,7 +16,7 @@
     stream.set_came_us(r.came);
     stream.set_last_event_us(r.last_event);
     if (!offer(stream.SerializeAsString(), fds)) return;
-    replicas_.cancel(r.call);
+    replicas_.moved_out(r.call);
     HttpFront::moved_out(*r.channel);
     broker_.moved_out(r);
   }
--- a/src/http/subchannels.cpp
+++ b/src/http/subchannels.cpp
@@ -159,6 +159,10 @@
     to.set_replica_keeps(parser_->keep_alive());
     return socket_.native_handle();
   }
+  void moved_out() {
+    --std::exchange(owner_, nullptr)->connections_;
+    leave(socket_);
+  }
   // The parser is brought to where the other process's stood: in a chunk of which so much is left, or behind
   // one.
   void move_in(core::CallId id, int descriptor, const handover::Stream& from) {
@@ -357,6 +361,9 @@
   const auto it = calls_.find(key(id));
   return it == calls_.end() ? -1 : it->second->describe(to);
 }
+void HttpSubchannels::moved_out(core::CallId id) {
+  if (const auto node = calls_.extract(key(id))) node.mapped()->moved_out();
+}
 void HttpSubchannels::move_in(core::CallId id, core::ReplicaId replica, int descriptor,
                               const handover::Stream& from) {
   const auto connection = calls_[key(id)] = std::make_shared<Connection>(*this, replica);
--- a/src/http/subchannels.h
+++ b/src/http/subchannels.h
@@ -42,9 +42,10 @@
   bool shed_idle();
   std::size_t connections() const { return connections_; }
   // An answer in its middle that moves to or from another process of this router, with its connection.
-  // Gives the descriptor, which stays here until cancel(), and writes what else there is to know; -1: not at
-  // this moment.
+  // Gives the descriptor, which stays here until moved_out(), and writes what else there is to know; -1: not
+  // at this moment.
   int describe(core::CallId id, handover::Stream& to) const;
+  void moved_out(core::CallId id);
   void move_in(core::CallId id, core::ReplicaId replica, int descriptor, const handover::Stream& from);
 
  private:
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -312,6 +312,55 @@
 
 // Seen on a rolling restart of a full fleet: a request came 0.89 s after SIGTERM on a connection that had
 // been kept, waited for its first token, and was lost at SIGKILL.
+// The heir counts a drain from the first word that the old process heard, and an older list does not take it
+// back; also where its own list is as new, and where the replica is gone from every list by now.
+void an_heir_keeps_the_first_word_of_a_drain() {
+  for (const Health end : {Health::draining, Health::gone}) {
+    for (const std::uint32_t own :
+         {0u, 3u, 6u, 9u}) {  // the version of the heir's own list; that of 9 names another
+      Core old;
+      old.list(Health::ready, 7, 5);
+      const Micros told = old.ports.time;
+      old.list(end, 7, 6);
+      old.pass_time(500 * core::kMilli);
+      Core heir;
+      heir.ports.time = old.ports.time;
+      if (own > 0) heir.list(own < 6 ? Health::ready : end, own == 9 ? 2 : 7, own);
+      heir.broker->adopt(old.broker->hand(), true);
+      heir.broker->turn();
+      const Micros limit = heir.ports.no_new_after;
+      CHECK(own == 9 || limit == told + heir.limits.drain_grace);
+      heir.list(Health::ready, 7, 4);
+      CHECK(own == 9 || heir.ports.no_new_after == limit);
+      CHECK(heir.broker->phase() == core::Phase::serving);
+    }
+  }
+}
+
+// Where another process serves, a request that is half read at SIGTERM is waited for and taken: its answer
+// can go on there. Where none does, it could be open still when the process is killed.
+void a_half_read_request_is_waited_for_where_another_serves() {
+  for (const bool followed : {true, false}) {
+    Core c;
+    c.broker->drain(followed);
+    c.broker->expecting(1);
+    c.pass_time(2 * core::kSecond);
+    CHECK((c.broker->phase() == core::Phase::stopped) == !followed);
+    if (!followed) continue;
+    core::RpcId id = 0;
+    const auto answer = c.send(id);
+    CHECK(answer->end.empty() && c.ports.calls.size() == 1);
+    c.broker->expecting(1);
+    c.pass_time(500 * core::kMilli);
+    CHECK(c.send(id)->end == "unavailable");  // by now it could be too late for its first event
+    c.broker->expecting(0);
+    c.broker->call_events({1, 0}, "a");
+    c.broker->call_ended({1, 0}, Outcome::ok);
+    c.pass_time(c.limits.last_words + 10 * core::kMilli);
+    CHECK(answer->end == "finish" && c.broker->phase() == core::Phase::stopped);
+  }
+}
+
 void a_drain_answers_before_it_is_killed() {
   Core c;
   core::RpcId id = 0;
@@ -827,6 +876,8 @@
                                          an_older_list_does_not_take_back_a_drain,
                                          bodies_are_a_budget,
                                          draining_waits_for_what_is_open,
+                                         an_heir_keeps_the_first_word_of_a_drain,
+                                         a_half_read_request_is_waited_for_where_another_serves,
                                          a_drain_answers_before_it_is_killed,
                                          events_are_whole_whatever_the_chunks,
                                          a_report_is_whole_or_none,
