--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -246,12 +246,14 @@
               {"wire", "http"},
               {"at", config::host_port(config.listen.host, http_front.port())}});
 
-  admin::Server admin(
-      io, {[&broker] { return broker.ready(); }, [&broker] { return std::string(to_string(broker.phase())); },
-           [&broker, &config] {
-             return admin::render({&broker.counters(), config.classes, broker.open_rpcs(),
-                                   broker.listed_replicas(), broker.avoided_replicas()});
-           }});
+  // A yes is heard only once our seat says so too: the other process may be told to end at that very moment.
+  bool announced = false;
+  admin::Server admin(io, {[&broker, &announced] { return announced && broker.ready(); },
+                           [&broker] { return std::string(to_string(broker.phase())); },
+                           [&broker, &config] {
+                             return admin::render({&broker.counters(), config.classes, broker.open_rpcs(),
+                                                   broker.listed_replicas(), broker.avoided_replicas()});
+                           }});
   if (!config.admin.host.empty()) {
     error = admin.listen(config.admin);
     if (!error.empty()) return diagnose(error);
@@ -427,7 +429,11 @@
         if (idle && succession) succession->idle();
         if (broker.phase() == core::Phase::draining) broker.expecting(http_front.half_read());
       },
-      [&] { http_front.look(); },
+      [&] {
+        mine();
+        announced = true;
+        http_front.look();
+      },
       [&] {
         http_front.close_idle();
         if (config.accept_fd >= 0) http_front.stop_accepting();
--- a/src/commands/succession.cpp
+++ b/src/commands/succession.cpp
@@ -101,7 +101,11 @@
   for (const handover::Use& o : seats_.others()) {
     if (o.stage == Stage::serving) heir_ = o.seat;
   }
-  if (!heir_) return false;
+  if (!heir_) {
+    log::event(Level::info, "no_heir", {{"others", seats_.others().size()}, {"answers", "end here"}});
+    return false;
+  }
+  log::event(Level::info, "heir", {{"seat", *heir_}});
   leave_state();
   keep_moving();
   return true;
@@ -118,7 +122,10 @@
   if (!heir_) return;
   moves_.out([this](std::string_view bytes, Passage::Descriptors descriptors) {
     const Passage::Sent sent = Passage::send(folder_, *heir_, bytes, descriptors);
-    if (sent == Passage::Sent::never) heir_.reset();
+    if (sent == Passage::Sent::never) {
+      log::event(Level::warn, "heir_lost", {{"seat", *heir_}, {"answers", "end here"}});
+      heir_.reset();
+    }
     return sent == Passage::Sent::yes;
   });
 }
