--- a/include/pipitcleat/balancer.h
+++ b/include/flintglade/policy/balancer.h
@@ -1,4 +1,5 @@
-// The interface of pipitcleat: what a router tells the module, and what the module asks of the router.
+// The interface of the decision module: what a router tells the module, and what the module asks of the
+// router.
 //
 // One Balancer is one router. It owns no thread, socket, clock or global state: the host hands it each event
 // with the time at which it happened and carries out, in order, what is written to the ActionSink during that
@@ -17,7 +18,7 @@
 #include <string_view>
 #include <vector>
 
-namespace pipitcleat {
+namespace flintglade::policy {
 
 using RequestId = std::uint64_t;
 using WorkerId = std::uint64_t;  // opaque; ordered only to break ties between equal start times
@@ -201,4 +202,4 @@
 // tests.
 std::int32_t jump_hash(std::uint64_t key, std::int32_t buckets);
 
-}  // namespace pipitcleat
+}  // namespace flintglade::policy
--- a/src/boot_info.cpp
+++ b/src/boot_info.cpp
@@ -5,7 +5,7 @@
 #include <map>
 #include <vector>
 
-namespace pipitcleat {
+namespace flintglade::policy {
 namespace {
 
 constexpr std::size_t kMostItems = 65536;  // classes and tenants are u16 on the wire
@@ -162,4 +162,4 @@
   return in.error;
 }
 
-}  // namespace pipitcleat
+}  // namespace flintglade::policy
--- a/src/boot_info.h
+++ b/src/boot_info.h
@@ -4,11 +4,11 @@
 #include <string>
 #include <string_view>
 
-#include "pipitcleat/balancer.h"
+#include "flintglade/policy/balancer.h"
 
-namespace pipitcleat {
+namespace flintglade::policy {
 
 // Gives an empty string, or one line that says what could not be read.
 std::string parse_boot_info(std::string_view text, Settings& settings);
 
-}  // namespace pipitcleat
+}  // namespace flintglade::policy
--- a/src/bounds.cpp
+++ b/src/bounds.cpp
@@ -4,7 +4,7 @@
 
 #include "numeric.h"
 
-namespace pipitcleat {
+namespace flintglade::policy {
 namespace {
 
 constexpr double kLongestAim = 3600.0, kMostAimPer1000 = 60.0;  // seconds
@@ -34,4 +34,4 @@
   return settings;
 }
 
-}  // namespace pipitcleat
+}  // namespace flintglade::policy
--- a/src/commands/resolve.cpp
+++ b/src/commands/resolve.cpp
@@ -84,9 +84,9 @@
       said += (said.empty() ? "" : ", ") + s.source + ": " + s.what;
     const auto health = v.endpoint.replica.health;
     std::printf("%-24s %-9s %-6.2f %-6u %-6s %d %-10s %s\n", address.c_str(),
-                health == pipitcleat::Health::ready      ? "new"
-                : health == pipitcleat::Health::draining ? "drains"
-                                                         : "gone",
+                health == policy::Health::ready      ? "new"
+                : health == policy::Health::draining ? "drains"
+                                                     : "gone",
                 v.endpoint.replica.size, v.priority, ttl_left(sources, specs, address, now).c_str(),
                 static_cast<int>(v.clause), membership::to_string(v.clause), said.c_str());
   }
--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -60,7 +60,7 @@
   return out;
 }
 
-Micros longest(const pipitcleat::Settings& module) {
+Micros longest(const policy::Settings& module) {
   double seconds = 0.0;
   for (const auto& c : module.classes) seconds = std::max(seconds, c.hard_limit);
   return static_cast<Micros>(seconds * 1e6);
@@ -152,7 +152,7 @@
     // DNS tells no start times, and its weights are sizes.
     config.module.slots =
         file.membership().slots() > 0 ? static_cast<int>(file.membership().slots()) : membership::kSlots;
-    config.module.weights = pipitcleat::WeightSource::nominal;
+    config.module.weights = policy::WeightSource::nominal;
   }
 
   MonotonicClock clock;
--- a/src/commands/shares.h
+++ b/src/commands/shares.h
@@ -32,7 +32,7 @@
   Word arrived(Micros now, const core::RpcRequest& rpc) override;
   void answered(const core::RpcRequest& rpc, End how) override;
   void first_event(Micros now, core::ReplicaId replica) override { witness_.first_event(now, replica); }
-  void call_ended(Micros now, core::ReplicaId replica, pipitcleat::Outcome outcome) override {
+  void call_ended(Micros now, core::ReplicaId replica, policy::Outcome outcome) override {
     witness_.call_ended(now, replica, outcome);
   }
   // Which budgets of the file are of no tenant that the settings name.
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -154,7 +154,7 @@
   if (settings == root.end() || !settings->is_object()) return "config: settings are missing";
   std::string lines;
   flatten(*settings, "", lines);
-  error = pipitcleat::parse_boot_info(lines, out.module);
+  error = policy::parse_boot_info(lines, out.module);
   if (!error.empty()) return "config: " + error;
   if (out.module.classes.empty()) return "config: settings.classes is missing or empty";
   // Without it the module would wait for a list that nobody sends, and the router answer 503 for good.
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "core/ports.h"
-#include "pipitcleat/balancer.h"
+#include "flintglade/policy/balancer.h"
 
 namespace flintglade::config {
 
@@ -31,7 +31,7 @@
   std::size_t memory_mb = 192;
   std::size_t sockets = 1024;
   std::string known;  // the last known list, as JSON in discovery's form; empty: none
-  pipitcleat::Settings module;
+  policy::Settings module;
   std::vector<std::string> classes, tenants, zones, kinds;
   core::Micros drain_grace = 2 * core::kSecond;
   core::Micros answer_grace = 20 * core::kMilli;
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -6,9 +6,9 @@
 
 namespace flintglade::core {
 
-using pipitcleat::Health;
-using pipitcleat::ListKind;
-using pipitcleat::Outcome;
+using policy::Health;
+using policy::ListKind;
+using policy::Outcome;
 
 namespace {
 
@@ -39,7 +39,7 @@
   return "?";
 }
 
-Broker::Broker(BrokerSettings settings, const pipitcleat::Settings& module, std::uint64_t seed, Clock& clock,
+Broker::Broker(BrokerSettings settings, const policy::Settings& module, std::uint64_t seed, Clock& clock,
                ReplicaList& list)
     : set_(settings),
       module_(module, seed, to_seconds(clock.now())),
@@ -179,7 +179,7 @@
   call->out = false;
   close(*rpc);
   module_.on_gone(to_seconds(now_), r.id, *this);
-  pipitcleat::Response gone;
+  policy::Response gone;
   gone.id = r.id;
   gone.attempt = r.call.attempt;
   gone.worker = r.replica;
@@ -317,7 +317,7 @@
   wake(rpc.deadline + set_.answer_grace, Overdue{e.id});
   if (phase_ == Phase::draining) wake(drain_from_ + set_.drain_limit, Overdue{e.id});
   const RpcRequest& r = *rpc.request;
-  pipitcleat::Query q;
+  policy::Query q;
   q.id = e.id;
   q.klass = r.klass;
   q.tenant = r.tenant;
@@ -330,8 +330,7 @@
   q.is_retry = r.is_retry;
   q.resumed = r.resumed;
   if (word.standing != Sharing::Standing::unknown)
-    q.budget =
-        word.standing == Sharing::Standing::over ? pipitcleat::Budget::over : pipitcleat::Budget::within;
+    q.budget = word.standing == Sharing::Standing::over ? policy::Budget::over : policy::Budget::within;
   module_.on_query(to_seconds(now_), q, *this);
 }
 
@@ -429,7 +428,7 @@
   if (e.kind != ListKind::cached) heard_ = true;
   if (e.kind != ListKind::failed) version_ = e.version;
   if (e.kind == ListKind::full || e.kind == ListKind::delta) listed_ = true;
-  pipitcleat::ListChange change;
+  policy::ListChange change;
   change.kind = e.kind;
   change.version = e.version;
   if (e.kind == ListKind::full || e.kind == ListKind::cached) {
@@ -568,7 +567,7 @@
 // The client gets this attempt's answer, and no other's.
 void Broker::bind(CallId id, Rpc& rpc, const Call& call) {
   rpc.bound = static_cast<int>(id.attempt);
-  pipitcleat::Accepted a;
+  policy::Accepted a;
   a.id = id.rpc;
   a.attempt = id.attempt;
   a.worker = call.replica;
@@ -618,7 +617,7 @@
     ++counters_.broken;
     close(rpc, &Answers::failed)->break_off();
   }
-  pipitcleat::Response r;
+  policy::Response r;
   r.id = id.rpc;
   r.attempt = id.attempt;
   r.worker = call.replica;
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -17,8 +17,8 @@
 
 #include "core/counters.h"
 #include "core/ports.h"
+#include "flintglade/policy/balancer.h"
 #include "learned.h"
-#include "pipitcleat/balancer.h"
 
 namespace flintglade::core {
 
@@ -38,9 +38,9 @@
   Micros cancel_hold = 0;  // how long a call that its client gave up counts as its replica's work
 };
 
-class Broker final : private pipitcleat::ActionSink {
+class Broker final : private policy::ActionSink {
  public:
-  Broker(BrokerSettings settings, const pipitcleat::Settings& module, std::uint64_t seed, Clock& clock,
+  Broker(BrokerSettings settings, const policy::Settings& module, std::uint64_t seed, Clock& clock,
          ReplicaList& list);
   ~Broker() override;
 
@@ -58,8 +58,7 @@
   void client_gone(RpcId id);
   void writable(RpcId id);
   void call_events(CallId id, std::string events);  // whole events; the first ones bind the attempt
-  void call_ended(CallId id, pipitcleat::Outcome outcome, std::uint32_t kept = 0,
-                  std::vector<float> report = {});
+  void call_ended(CallId id, policy::Outcome outcome, std::uint32_t kept = 0, std::vector<float> report = {});
   void call_rejected(CallId id);                // the replica cannot use the request, nor could another
   void call_written() { ++counters_.written; }  // the last byte of an attempt is written; once each
   void list_news(ListNews news);
@@ -75,7 +74,7 @@
       std::uint32_t version = 0;
     };
     std::vector<Word> retired;  // since when it was known to drain or be gone
-    pipitcleat::Learned learned;
+    policy::Learned learned;
   };
   Handed hand() const;
   // same_list: versions of its list can be compared with those of ours. A list of ours that is as new stays
@@ -171,7 +170,7 @@
   };
   struct Ended {
     CallId id;
-    pipitcleat::Outcome outcome;
+    policy::Outcome outcome;
     std::uint32_t kept;
     std::vector<float> report;
   };
@@ -268,15 +267,15 @@
   const Retired* overtaken_by(const Endpoint& entry, const ListNews& news) const;  // null: by no word
   Micros drained_at() const;
   Micros takes_until() const;  // in a drain
-  std::size_t replicas_of(pipitcleat::Health health) const;
+  std::size_t replicas_of(policy::Health health) const;
   Rpc* find(RpcId id);
   Call* find_out(CallId id, Rpc*& rpc);
   Subchannels& subchannels(const Rpc& rpc) const;
-  void end_call(CallId id, Rpc& rpc, Call& call, pipitcleat::Outcome outcome, std::uint32_t kept = 0,
+  void end_call(CallId id, Rpc& rpc, Call& call, policy::Outcome outcome, std::uint32_t kept = 0,
                 std::vector<float> report = {});
   void bind(CallId id, Rpc& rpc, const Call& call);
   void hold(CallId id, Rpc& rpc, Call& call);
-  void cancel_call(CallId id, Rpc& rpc, Call& call, pipitcleat::Outcome outcome);
+  void cancel_call(CallId id, Rpc& rpc, Call& call, policy::Outcome outcome);
   std::shared_ptr<Channel> close(Rpc& rpc);  // takes the channel; the RPC is over
   // The same for the one final answer, which is counted here and nowhere else.
   std::shared_ptr<Channel> close(Rpc& rpc, std::uint64_t Answers::*as);
@@ -287,7 +286,7 @@
   void drop_if_done(RpcId id, const Rpc& rpc);
 
   BrokerSettings set_;
-  pipitcleat::Balancer module_;
+  policy::Balancer module_;
   Clock& clock_;
   ReplicaList& list_;
   std::array<Subchannels*, kWires> subchannels_{};
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -8,7 +8,7 @@
 
 namespace flintglade::core {
 
-// Names of call attempts' outcomes, by pipitcleat::Outcome.
+// Names of call attempts' outcomes, by policy::Outcome.
 inline constexpr std::array<const char*, 8> kOutcomes = {"error",          "ok",    "full",      "timeout",
                                                          "connect_failed", "reset", "cancelled", "moot"};
 
@@ -39,7 +39,7 @@
   std::uint64_t written = 0;                // of them, those whose last byte was written to the replica
   std::vector<Answers> answers;             // by class, in the order of the settings
   std::uint64_t second_calls = 0;           // of them, after the first attempt of their RPC
-  std::array<std::uint64_t, 8> outcomes{};  // of call attempts, by pipitcleat::Outcome
+  std::array<std::uint64_t, 8> outcomes{};  // of call attempts, by policy::Outcome
   std::uint64_t list_news = 0;
   std::uint64_t list_failures = 0;
   std::uint64_t reloads = 0;
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "pipitcleat/balancer.h"
+#include "flintglade/policy/balancer.h"
 
 namespace flintglade::core {
 
@@ -18,8 +18,8 @@
 inline constexpr Micros kMilli = 1'000;
 inline constexpr Micros kNever = INT64_MAX;
 
-using RpcId = pipitcleat::RequestId;
-using ReplicaId = pipitcleat::WorkerId;
+using RpcId = policy::RequestId;
+using ReplicaId = policy::WorkerId;
 
 struct CallId {  // one call attempt of an RPC
   RpcId rpc = 0;
@@ -70,12 +70,12 @@
 };
 
 struct Endpoint {
-  pipitcleat::Worker replica;
+  policy::Worker replica;
   std::string address;  // host:port
 };
 
 struct ListNews {
-  pipitcleat::ListKind kind = pipitcleat::ListKind::failed;
+  policy::ListKind kind = policy::ListKind::failed;
   std::uint32_t version = 0;
   std::vector<Endpoint> entries;
   // Named, but by an entry that says nothing usable: what is held of them stays in force.
@@ -114,7 +114,7 @@
   enum class End : std::uint8_t { served, refused, failed };
   virtual void answered(const RpcRequest& rpc, End how) = 0;  // each final answer, once
   virtual void first_event(Micros now, ReplicaId replica) = 0;
-  virtual void call_ended(Micros now, ReplicaId replica, pipitcleat::Outcome outcome) = 0;
+  virtual void call_ended(Micros now, ReplicaId replica, policy::Outcome outcome) = 0;
 };
 
 // What the core did with each RPC and call attempt, for whoever wants to count it: off unless set.
--- a/src/discovery/entries.cpp
+++ b/src/discovery/entries.cpp
@@ -34,7 +34,7 @@
   if (targets == root.end() || !targets->is_array() || targets->size() > kMostEntries) return false;
   const auto all = root.find("all");
   const bool whole = all != root.end() && all->is_boolean() && all->get<bool>();
-  out.kind = whole ? pipitcleat::ListKind::full : pipitcleat::ListKind::delta;
+  out.kind = whole ? policy::ListKind::full : policy::ListKind::delta;
   out.version = static_cast<std::uint32_t>(std::clamp(number(root, "rev", 0.0), 0.0, 4294967295.0));
   for (const Json& entry : *targets) {
     if (!entry.is_object()) continue;
@@ -42,12 +42,12 @@
     core::Endpoint e;
     e.address = text(entry, "endpoint");
     const std::string state = text(entry, "state");
-    e.replica.health = state == "Ready"         ? pipitcleat::Health::ready
-                       : state == "Terminating" ? pipitcleat::Health::draining
-                                                : pipitcleat::Health::gone;
+    e.replica.health = state == "Ready"         ? policy::Health::ready
+                       : state == "Terminating" ? policy::Health::draining
+                                                : policy::Health::gone;
     if (uid.empty()) continue;
     e.replica.id = replica_id(uid);
-    if (state != "Gone" && (e.address.empty() || e.replica.health == pipitcleat::Health::gone)) {
+    if (state != "Gone" && (e.address.empty() || e.replica.health == policy::Health::gone)) {
       out.unreadable.push_back(e.replica.id);
       continue;
     }
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -125,7 +125,7 @@
   if (text.find_first_not_of(" \r\t") == std::string_view::npos) return true;
   core::ListNews news;
   if (!parse_list(text, names_, news)) return false;
-  if (news.kind == pipitcleat::ListKind::delta && have_list_ && news.version < version_) {
+  if (news.kind == policy::ListKind::delta && have_list_ && news.version < version_) {
     // Late or repeated: what it tells has been overtaken by what is held.
     log::event(log::Level::warn, "list_out_of_order", {{"rev", news.version}, {"held", version_}});
     return true;
@@ -134,7 +134,7 @@
     log::event(log::Level::warn, "list_entries_unreadable",
                {{"entries", news.unreadable.size()}, {"in_force", "what was held of them"}});
   version_ = news.version;
-  last_was_whole_ = news.kind != pipitcleat::ListKind::delta;
+  last_was_whole_ = news.kind != policy::ListKind::delta;
   have_list_ = true;
   last_error_.clear();
   tell_(std::move(news));
@@ -152,7 +152,7 @@
     have_list_ = true;
   }
   // Told even where nothing is known: it is on this word that the module first asks for the list.
-  news.kind = pipitcleat::ListKind::cached;
+  news.kind = policy::ListKind::cached;
   tell_(std::move(news));
 }
 
--- a/src/fleet/registrar.cpp
+++ b/src/fleet/registrar.cpp
@@ -15,7 +15,7 @@
 std::uint64_t hash(std::string_view text) {
   std::uint64_t h = 1469598103934665603ull;  // FNV-1a, then mixed: names differ in their last letters only
   for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ull;
-  return pipitcleat::mix(h);
+  return policy::mix(h);
 }
 }  // namespace
 
--- a/src/handover/state.cpp
+++ b/src/handover/state.cpp
@@ -51,18 +51,18 @@
 #define FIELD(Type, name, value) io.field(m, &Type::name, &Type::set_##name, value)
 
 template <typename Io, typename M>
-void all(const Io& io, M& m, pipitcleat::Decayed& d) {
+void all(const Io& io, M& m, policy::Decayed& d) {
   FIELD(State::Decayed, sum, d.sum);
   FIELD(State::Decayed, at, d.at);
 }
 template <typename Io, typename M>
-void all(const Io& io, M& m, pipitcleat::Stay& s) {
+void all(const Io& io, M& m, policy::Stay& s) {
   FIELD(State::Stay, area, s.area);
   FIELD(State::Stay, sends, s.sends);
   FIELD(State::Stay, at, s.at);
 }
 template <typename Io, typename M>
-void all(const Io& io, M& m, pipitcleat::Known& k) {
+void all(const Io& io, M& m, policy::Known& k) {
   FIELD(State::Known, health, k.health);
   FIELD(State::Known, health_at, k.health_at);
   FIELD(State::Known, cold_tokens, k.cold_tokens);
@@ -73,22 +73,22 @@
   FIELD(State::Known, down, k.down);
 }
 template <typename Io, typename M>
-void all(const Io& io, M& m, pipitcleat::ReadCost& c) {
+void all(const Io& io, M& m, policy::ReadCost& c) {
   FIELD(State::Kind, read_cost_s, c.per_token);
   FIELD(State::Kind, read_samples, c.samples);
 }
 template <typename Io, typename M>
-void all(const Io& io, M& m, pipitcleat::Zone& z) {
+void all(const Io& io, M& m, policy::Zone& z) {
   FIELD(State::Zone, down_until, z.down_until);
   FIELD(State::Zone, down, z.down);
 }
 template <typename Io, typename M>
-void all(const Io& io, M& m, pipitcleat::Prefix& p) {
+void all(const Io& io, M& m, policy::Prefix& p) {
   all(io, *m.mutable_work(), p.work);
   FIELD(State::Prefix, replicas, p.replicas);
 }
 template <typename Io, typename M>
-void sums(const Io& io, M& m, pipitcleat::Learned& l) {
+void sums(const Io& io, M& m, policy::Learned& l) {
   FIELD(State::Learned, started, l.started);
   all(io, *m.mutable_stay(), l.stay);
   all(io, *m.mutable_arrived(), l.arrived);
@@ -109,7 +109,7 @@
 }
 #undef FIELD
 
-void write(pipitcleat::Learned l, State::Learned& m) {
+void write(policy::Learned l, State::Learned& m) {
   const Out io;
   sums(io, m, l);
   for (auto& [id, stay] : l.kinds) {
@@ -152,7 +152,7 @@
 }
 
 // False: it holds what no writer of ours gives.
-bool read(State::Learned& m, pipitcleat::Learned& l) {
+bool read(State::Learned& m, policy::Learned& l) {
   const In io;
   if (m.kinds_size() > kMostKinds || m.zones_size() > kMostKinds || m.prefixes_size() > kMostPrefixes ||
       m.replicas_size() > kMostReplicas || m.slots_size() > kMostReplicas ||
@@ -161,11 +161,11 @@
   sums(io, m, l);
   for (State::Kind& from : *m.mutable_kinds()) {
     all(io, *from.mutable_stay(), l.kinds[from.id()]);
-    pipitcleat::ReadCost& cost = l.read_costs[from.id()];
+    policy::ReadCost& cost = l.read_costs[from.id()];
     all(io, from, cost);
     l.live_top[from.id()] = from.live_top();
     io.sound = io.sound && from.live_top() >= 0.0 && from.live_top() < 1e15 && cost.per_token >= 0.0 &&
-               cost.samples >= 0.0 && cost.samples <= pipitcleat::ReadCost::kMostSamples;
+               cost.samples >= 0.0 && cost.samples <= policy::ReadCost::kMostSamples;
   }
   for (State::Zone& from : *m.mutable_zones()) all(io, from, l.zones[from.id()]);
   for (State::Prefix& from : *m.mutable_prefixes()) {
@@ -184,7 +184,7 @@
     io.sound = io.sound && std::abs(from.tokens()) < 1e15 && std::abs(from.at()) < 1e15;
   }
   for (State::Known& from : *m.mutable_replicas()) {
-    pipitcleat::Known& known = l.replicas[from.id()];
+    policy::Known& known = l.replicas[from.id()];
     all(io, from, known);
     io.sound = io.sound && known.health >= 0.0 && known.health <= 1.0 && known.down >= 0;
   }
@@ -258,9 +258,9 @@
     e.replica.zone = from.zone();
     e.replica.kind = from.kind();
     e.replica.cell = from.cell();
-    e.replica.health = from.health() == 1   ? pipitcleat::Health::ready
-                       : from.health() == 2 ? pipitcleat::Health::draining
-                                            : pipitcleat::Health::gone;
+    e.replica.health = from.health() == 1   ? policy::Health::ready
+                       : from.health() == 2 ? policy::Health::draining
+                                            : policy::Health::gone;
     e.replica.size = from.size();
     // By the reader's own offset, as the list will tell it: the same start may not look like another.
     if (from.born_unix_us() != 0)
--- a/src/http/subchannels.cpp
+++ b/src/http/subchannels.cpp
@@ -23,7 +23,7 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 using core::Micros;
-using pipitcleat::Outcome;
+using policy::Outcome;
 
 namespace {
 // Connections are dropped this long before the replica may close them: a request that crosses the close
--- a/src/kserve/subchannels.cpp
+++ b/src/kserve/subchannels.cpp
@@ -18,7 +18,7 @@
 namespace flintglade::kserve {
 
 using core::Micros;
-using pipitcleat::Outcome;
+using policy::Outcome;
 
 namespace {
 
@@ -200,8 +200,8 @@
     sub.channel.reset();
   }
   sub.no_new_after = no_new_after;
-  sub.ready = endpoint.replica.health == pipitcleat::Health::ready && no_new_after == core::kNever;
-  if (endpoint.replica.health == pipitcleat::Health::gone) sub.channel.reset();  // calls under way keep it
+  sub.ready = endpoint.replica.health == policy::Health::ready && no_new_after == core::kNever;
+  if (endpoint.replica.health == policy::Health::gone) sub.channel.reset();  // calls under way keep it
 }
 
 std::shared_ptr<grpc::Channel> GrpcSubchannels::channel(Subchannel& sub) {
--- a/src/learned.h
+++ b/src/learned.h
@@ -9,7 +9,7 @@
 
 #include "numeric.h"
 
-namespace pipitcleat {
+namespace flintglade::policy {
 
 struct Known {                              // of one replica
   double health = 1.0, health_at = 0.0;     // 1 = answers within its aims; forgets towards 1
@@ -55,4 +55,4 @@
   std::vector<std::uint64_t> slots, own_slots;
 };
 
-}  // namespace pipitcleat
+}  // namespace flintglade::policy
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -155,7 +155,7 @@
 }
 
 void Membership::take_list(Micros now, Source& source, const core::ListNews& news, bool first) {
-  const bool whole = news.kind != pipitcleat::ListKind::delta;
+  const bool whole = news.kind != policy::ListKind::delta;
   // A list that was set back (its service restored, another instance asked) may not bring back what it has
   // already called gone; only time can tell which of the two was right.
   const bool older = !first && news.version < source.version;
@@ -466,7 +466,7 @@
 
 std::optional<core::ListNews> Membership::changes() {
   core::ListNews news;
-  news.kind = pipitcleat::ListKind::delta;
+  news.kind = policy::ListKind::delta;
   for (const auto& [address, v] : verdicts_) {
     const auto it = told_.find(address);
     const auto& r = v.endpoint.replica;
@@ -498,7 +498,7 @@
 
 core::ListNews Membership::whole() const {
   core::ListNews news;
-  news.kind = pipitcleat::ListKind::full;
+  news.kind = policy::ListKind::full;
   news.version = version_;
   for (const auto& [address, v] : verdicts_) {
     if (v.endpoint.replica.health != Health::gone) news.entries.push_back(v.endpoint);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -13,7 +13,7 @@
 namespace flintglade::membership {
 
 using core::Micros;
-using pipitcleat::Health;
+using policy::Health;
 
 // The clauses of the rule, by their numbers in docs/membership.md.
 enum class Clause : std::uint8_t {
--- a/src/membership/sources.cpp
+++ b/src/membership/sources.cpp
@@ -52,7 +52,7 @@
   if (uses_list_) watch_.known(known);
   core::ListNews held = membership_.whole();
   membership_.changes();
-  held.kind = pipitcleat::ListKind::cached;
+  held.kind = policy::ListKind::cached;
   tell_(std::move(held));
   if (uses_list_) watch_.observe(true);
   client_.configure(client_.resolver().settings(), dns_names(specs_));
@@ -84,9 +84,9 @@
     if (!entry.address.empty()) entry.address = canonical_address(entry.address);
   }
   const Micros now = clock_.now();
-  if (news.kind == pipitcleat::ListKind::cached) {
+  if (news.kind == policy::ListKind::cached) {
     membership_.known(now, news);
-  } else if (news.kind == pipitcleat::ListKind::failed) {
+  } else if (news.kind == policy::ListKind::failed) {
     for (const SourceSpec& s : specs_) {
       if (s.list) membership_.failed(now, s.name, watch_.status());
     }
--- a/src/numeric.h
+++ b/src/numeric.h
@@ -7,7 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace pipitcleat {
+namespace flintglade::policy {
 
 inline std::uint64_t mix(std::uint64_t x) {  // splitmix64's finaliser
   x += 0x9e3779b97f4a7c15ull;
@@ -75,4 +75,4 @@
   }
 };
 
-}  // namespace pipitcleat
+}  // namespace flintglade::policy
--- a/src/brain.cpp
+++ b/src/policy/balancer.cpp
@@ -1,9 +1,11 @@
-// All decisions of pipitcleat. The interface, with its types, events and actions:
-// include/pipitcleat/balancer.h
+// All decisions of the module. The interface, with its types, events and actions:
+// include/flintglade/policy/balancer.h
 //
 // The ordinary path: a request's key (its prefix or its session) is put on a slot by jump consistent hash
 // over the ready replicas in order of start time and id. Everything below that is not this path is an
 // exception; docs/design.md lists each with the condition under which it acts.
+#include "flintglade/policy/balancer.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -13,9 +15,8 @@
 
 #include "bounds.h"
 #include "learned.h"
-#include "pipitcleat/balancer.h"
 
-namespace pipitcleat {
+namespace flintglade::policy {
 namespace {
 
 // ---- policy constants -------------------------------------------------------------------------------------
@@ -918,4 +919,4 @@
 std::size_t Balancer::avoided(double now) const { return impl_->avoided(now); }
 void Balancer::on_peer(double now, std::uint32_t, std::string_view, ActionSink& s) { impl_->begin(now, s); }
 
-}  // namespace pipitcleat
+}  // namespace flintglade::policy
--- a/src/shared/hearsay.cpp
+++ b/src/shared/hearsay.cpp
@@ -9,8 +9,8 @@
 constexpr std::uint32_t kMostInARow = 1000;
 }  // namespace
 
-void Witness::call_ended(Micros now, core::ReplicaId replica, pipitcleat::Outcome outcome) {
-  using pipitcleat::Outcome;
+void Witness::call_ended(Micros now, core::ReplicaId replica, policy::Outcome outcome) {
+  using policy::Outcome;
   if (outcome == Outcome::ok) return first_event(now, replica);
   // A refusal says that it is full, and what we gave up ourselves says nothing.
   if (outcome == Outcome::full || outcome == Outcome::cancelled || outcome == Outcome::moot) return;
--- a/src/shared/hearsay.h
+++ b/src/shared/hearsay.h
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "fleet.pb.h"
-#include "pipitcleat/balancer.h"
+#include "flintglade/policy/balancer.h"
 #include "shared/ledger.h"
 #include "shared/settings.h"
 
@@ -25,7 +25,7 @@
 class Witness {
  public:
   explicit Witness(const Settings& settings) : set_(settings) {}
-  void call_ended(Micros now, core::ReplicaId replica, pipitcleat::Outcome outcome);
+  void call_ended(Micros now, core::ReplicaId replica, policy::Outcome outcome);
   void first_event(Micros now, core::ReplicaId replica);  // it serves
   // What to tell: replicas that fail now, and those that have lately begun to serve again.
   std::vector<fleet::Case> cases(Micros now) const;
--- a/src/simhost.cpp
+++ b/src/simhost.cpp
@@ -6,12 +6,12 @@
 #include <vector>
 
 #include "boot_info.h"
-#include "pipitcleat/balancer.h"
+#include "flintglade/policy/balancer.h"
 #include "wire.h"
 
 namespace {
 
-using namespace pipitcleat;
+using namespace flintglade::policy;
 
 class Host {
  public:
@@ -92,7 +92,7 @@
 };
 
 int diagnose(const std::string& text) {
-  std::fprintf(stderr, "pipitcleat_simhost: %s\n", text.c_str());
+  std::fprintf(stderr, "flintglade_simhost: %s\n", text.c_str());
   return 1;
 }
 
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -4,7 +4,7 @@
 #include <cstring>
 #include <utility>
 
-namespace pipitcleat::wire {
+namespace flintglade::policy::wire {
 namespace {
 
 static_assert(std::endian::native == std::endian::little, "the frames are little-endian");
@@ -305,4 +305,4 @@
   written_instance_ = -1;
 }
 
-}  // namespace pipitcleat::wire
+}  // namespace flintglade::policy::wire
--- a/src/wire.h
+++ b/src/wire.h
@@ -7,9 +7,9 @@
 #include <variant>
 #include <vector>
 
-#include "pipitcleat/balancer.h"
+#include "flintglade/policy/balancer.h"
 
-namespace pipitcleat::wire {
+namespace flintglade::policy::wire {
 
 inline constexpr std::size_t kBatchHeader = 16;
 inline constexpr std::uint32_t kMaxFrame = 512u << 20;  // no batch of a day comes near this
@@ -82,4 +82,4 @@
   std::int64_t written_instance_ = -1;
 };
 
-}  // namespace pipitcleat::wire
+}  // namespace flintglade::policy::wire
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -7,9 +7,9 @@
 #include <set>
 #include <vector>
 
-#include "pipitcleat/balancer.h"
+#include "flintglade/policy/balancer.h"
 
-namespace pipitcleat::testing_support {
+namespace flintglade::policy::testing_support {
 
 struct Action {
   enum Kind { attempt, busy, fail, stop, alarm, observe } kind;
@@ -135,4 +135,4 @@
   return q;
 }
 
-}  // namespace pipitcleat::testing_support
+}  // namespace flintglade::policy::testing_support
--- a/tests/boot_info_test.cpp
+++ b/tests/boot_info_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-namespace pipitcleat {
+namespace flintglade::policy {
 namespace {
 
 TEST(BootInfo, ReadsWhatDecisionsNeedAndSkipsTheRest) {
@@ -64,4 +64,4 @@
 }
 
 }  // namespace
-}  // namespace pipitcleat
+}  // namespace flintglade::policy
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -24,8 +24,8 @@
   if (!held) std::exit(1);
 }
 double some(double most) { return *rc::gen::inRange(0, 1'000'000) / 1e6 * most; }
-pipitcleat::Stay stay() { return {some(100), some(100), 0.0, some(6)}; }
-pipitcleat::Decayed decayed() { return {some(1000), some(6)}; }
+flintglade::policy::Stay stay() { return {some(100), some(100), 0.0, some(6)}; }
+flintglade::policy::Decayed decayed() { return {some(1000), some(6)}; }
 
 Broker::Handed handed() {
   Broker::Handed h;
@@ -37,16 +37,16 @@
     e.address = "10.0.0." + std::to_string(i) + ":8000";
     e.replica.zone = *rc::gen::inRange(0, 5);
     e.replica.kind = *rc::gen::inRange(0, 5);
-    e.replica.health = static_cast<pipitcleat::Health>(*rc::gen::inRange(0, 3));
+    e.replica.health = static_cast<flintglade::policy::Health>(*rc::gen::inRange(0, 3));
     e.replica.size = some(4);
     // As the list gives it: whole milliseconds of Unix time on the writer's clock.
     const std::int64_t boot_ms = *rc::gen::inRange<std::int64_t>(1'789'999'000'000, 1'790'000'001'000);
     e.replica.born = static_cast<double>(boot_ms * 1000 - kWriter.unix_less_monotonic) / 1e6;
     if (*rc::gen::inRange(0, 3) == 0) e.replica.born = 0.0;
     h.entries.push_back(e);
-    if (e.replica.health != pipitcleat::Health::ready)
+    if (e.replica.health != flintglade::policy::Health::ready)
       h.retired.push_back({e.replica.id, *rc::gen::inRange<core::Micros>(0, kNow), h.version});
-    pipitcleat::Known& k = h.learned.replicas[e.replica.id];
+    flintglade::policy::Known& k = h.learned.replicas[e.replica.id];
     k = {some(1), some(6), some(5), some(6), stay(), some(9), some(9), *rc::gen::inRange(0, 9)};
     h.learned.slots.push_back(e.replica.id);
     if (e.replica.zone == 1) h.learned.own_slots.push_back(e.replica.id);
@@ -92,7 +92,7 @@
     RC_ASSERT(read(bytes, after) == "");
     RC_ASSERT(after.version == before.version && after.entries.size() == before.entries.size());
     for (std::size_t i = 0; i < before.entries.size(); ++i) {
-      const pipitcleat::Worker &a = before.entries[i].replica, &b = after.entries[i].replica;
+      const flintglade::policy::Worker &a = before.entries[i].replica, &b = after.entries[i].replica;
       RC_ASSERT(a.id == b.id && a.zone == b.zone && a.kind == b.kind && a.health == b.health &&
                 a.size == b.size);
       RC_ASSERT(before.entries[i].address == after.entries[i].address);
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -12,8 +12,8 @@
 #include <set>
 
 #include "check.h"
+#include "flintglade/policy/balancer.h"
 #include "membership/settings.h"
-#include "pipitcleat/balancer.h"
 
 namespace {
 
@@ -21,7 +21,7 @@
 using namespace flintglade::membership;
 using core::kSecond;
 using core::ListNews;
-using pipitcleat::ListKind;
+using flintglade::policy::ListKind;
 
 std::string address(int n) { return "10.0.0." + std::to_string(n) + ":8000"; }
 
@@ -412,31 +412,31 @@
 // ---- the same table on every router
 // ----------------------------------------------------------------------------
 
-struct Picks final : pipitcleat::ActionSink {
+struct Picks final : flintglade::policy::ActionSink {
   std::uint64_t worker = 0;
-  void attempt(pipitcleat::RequestId, pipitcleat::WorkerId w, double) override { worker = w; }
-  void busy(pipitcleat::RequestId, double) override {}
-  void fail(pipitcleat::RequestId) override {}
-  void stop_attempt(pipitcleat::RequestId, std::uint16_t) override {}
+  void attempt(flintglade::policy::RequestId, flintglade::policy::WorkerId w, double) override { worker = w; }
+  void busy(flintglade::policy::RequestId, double) override {}
+  void fail(flintglade::policy::RequestId) override {}
+  void stop_attempt(flintglade::policy::RequestId, std::uint16_t) override {}
   void set_alarm(double, std::uint64_t) override {}
   void observe(bool) override {}
 };
 
 struct Router {
   explicit Router(std::uint64_t seed, int slots) : module(settings(slots), seed, 1000.0) {}
-  static pipitcleat::Settings settings(int slots) {
-    pipitcleat::Settings s;
+  static flintglade::policy::Settings settings(int slots) {
+    flintglade::policy::Settings s;
     s.classes.emplace_back();
     s.slots = slots;
-    s.weights = pipitcleat::WeightSource::nominal;
+    s.weights = flintglade::policy::WeightSource::nominal;
     return s;
   }
   void set(std::uint64_t members, double at) {
-    pipitcleat::ListChange change;
+    flintglade::policy::ListChange change;
     change.kind = ListKind::full;
     for (int n = 0; n < 12; ++n) {
       if ((members >> n & 1) == 0) continue;
-      pipitcleat::Worker w;
+      flintglade::policy::Worker w;
       w.id = replica_id(address(n));
       w.health = Health::ready;
       w.born = joined.try_emplace(n, at).first->second;  // as it learnt of them: no two routers alike
@@ -445,24 +445,24 @@
     module.on_list(at, change, picks);
   }
   std::uint64_t pick(std::uint64_t key, double at) {
-    pipitcleat::Query q;
+    flintglade::policy::Query q;
     q.id = ++last;
     q.key = key;
     q.deadline = at + 5.0;
     picks.worker = 0;
     module.on_query(at, q, picks);
     const std::uint64_t out = picks.worker;
-    pipitcleat::Response r;
+    flintglade::policy::Response r;
     r.id = q.id;
     r.worker = out;
-    r.outcome = pipitcleat::Outcome::ok;
+    r.outcome = flintglade::policy::Outcome::ok;
     r.closed = true;
     module.on_accepted(at, {q.id, 0, out, 0.01}, picks);
     module.on_response(at, r, picks);
     return out;
   }
   Picks picks;
-  pipitcleat::Balancer module;
+  flintglade::policy::Balancer module;
   std::map<int, double> joined;
   std::uint64_t last = 0;
 };
--- a/tests/brain_test.cpp
+++ b/tests/policy_test.cpp
@@ -4,7 +4,7 @@
 #include "bench.h"
 #include "learned.h"
 
-namespace pipitcleat {
+namespace flintglade::policy {
 namespace {
 
 using namespace testing_support;
@@ -1312,4 +1312,4 @@
 }
 
 }  // namespace
-}  // namespace pipitcleat
+}  // namespace flintglade::policy
--- a/tests/shared_machines_test.cpp
+++ b/tests/shared_machines_test.cpp
@@ -325,7 +325,7 @@
 
 void a_witness_tells_of_rows_of_failures() {
   shared::Witness w{shared::Settings{}};
-  using pipitcleat::Outcome;
+  using flintglade::policy::Outcome;
   w.call_ended(0, 1, Outcome::reset);
   CHECK(w.cases(0).empty() && !w.changed());
   w.call_ended(1, 1, Outcome::connect_failed);
--- a/tests/units_test.cpp
+++ b/tests/units_test.cpp
@@ -37,8 +37,8 @@
 
 using namespace flintglade;
 using core::Micros;
-using pipitcleat::Health;
-using pipitcleat::Outcome;
+using flintglade::policy::Health;
+using flintglade::policy::Outcome;
 
 // ---- a core on stand-in ports: time moves only when a test says so
 // ------------------------------------------
@@ -79,7 +79,7 @@
   core::BrokerSettings limits;
   std::unique_ptr<core::Broker> broker;
   explicit Core(std::size_t body_budget = 1 << 20) {
-    pipitcleat::Settings s;
+    flintglade::policy::Settings s;
     s.classes.resize(1);
     s.classes[0].streamed = true;
     s.list_on_request = s.may_cancel = s.may_duplicate = s.retry_after = true;
@@ -92,7 +92,7 @@
   }
   void list(Health health, core::ReplicaId id, std::uint32_t version = 0, double born = 0.0) {
     core::ListNews news;
-    news.kind = pipitcleat::ListKind::full;
+    news.kind = flintglade::policy::ListKind::full;
     news.version = version;
     news.entries.resize(1);
     news.entries[0].address = "127.0.0.1:1";
@@ -489,7 +489,7 @@
       R"({"rev":7,"all":false,"targets":[5,{"uid":""},{"uid":"s","endpoint":"h:1","az":"z","model":"m2",
          "state":"Terminating","boot_ms":2000},{"uid":"g","state":"Gone"}]})",
       names, news));
-  CHECK(news.version == 7 && news.kind == pipitcleat::ListKind::delta && news.entries.size() == 2);
+  CHECK(news.version == 7 && news.kind == flintglade::policy::ListKind::delta && news.entries.size() == 2);
   CHECK(news.entries[0].replica.kind == 1 && news.entries[0].replica.health == Health::draining);
   CHECK(news.entries[0].replica.born == 2.0 && news.entries[0].replica.id == discovery::replica_id("s"));
   // A state that nobody knows is no word that a replica is gone.
@@ -509,7 +509,7 @@
   Core c;
   const auto whole_list = [&c](std::vector<core::ReplicaId> unreadable) {
     core::ListNews news;
-    news.kind = pipitcleat::ListKind::full;
+    news.kind = flintglade::policy::ListKind::full;
     news.unreadable = std::move(unreadable);
     c.broker->list_news(std::move(news));
     c.broker->turn();
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -4,7 +4,7 @@
 
 #include <string>
 
-namespace pipitcleat::wire {
+namespace flintglade::policy::wire {
 namespace {
 
 std::vector<std::uint8_t> hex(const std::string& text) {
@@ -207,4 +207,4 @@
 }
 
 }  // namespace
-}  // namespace pipitcleat::wire
+}  // namespace flintglade::policy::wire
