--- a/src/commands/fellow.cpp
+++ b/src/commands/fleet_member.cpp
@@ -1,4 +1,4 @@
-#include "commands/fellow.h"
+#include "commands/fleet_member.h"
 
 #include <algorithm>
 #include <chrono>
@@ -51,8 +51,8 @@
 
 }  // namespace
 
-Fellow::Fellow(boost::asio::io_context& io, core::Clock& clock, discovery::Watch& watch,
-               const deploy::Fleet& file, const config::Config& config)
+FleetMember::FleetMember(boost::asio::io_context& io, core::Clock& clock, discovery::Watch& watch,
+                         const deploy::Fleet& file, const config::Config& config)
     : io_(io),
       clock_(clock),
       watch_(watch),
@@ -90,9 +90,11 @@
   });
 }
 
-core::ReplicaList& Fellow::list() { return shared_ ? static_cast<core::ReplicaList&>(*shared_) : watch_; }
+core::ReplicaList& FleetMember::list() {
+  return shared_ ? static_cast<core::ReplicaList&>(*shared_) : watch_;
+}
 
-void Fellow::start(core::Broker& core) {
+void FleetMember::start(core::Broker& core) {
   if (shared_) shared_->holds(watch_.version());
   if (shares_) shares_->restore();
   member_.start();
@@ -101,17 +103,17 @@
   core.share(shares_.get());
 }
 
-void Fellow::moved(const config::HostPort& discovery) {
+void FleetMember::moved(const config::HostPort& discovery) {
   if (shared_) shared_->moved(config::host_port(discovery.host, discovery.port));
   arm();
 }
 
-void Fellow::leave() {
+void FleetMember::leave() {
   if (shares_) shares_->leave();
   member_.leave([] {});
 }
 
-void Fellow::take(const fleet::Agent::Word& w) {
+void FleetMember::take(const fleet::Agent::Word& w) {
   if (!shared_ || w.job != job_) return;
   using What = fleet::Agent::Word::What;
   switch (w.what) {
@@ -131,7 +133,7 @@
   arm();
 }
 
-void Fellow::arm() {
+void FleetMember::arm() {
   if (!shared_) return;
   const core::Micros at = shared_->next();
   if (at == core::kNever) {
--- a/src/commands/fellow.h
+++ b/src/commands/fleet_member.h
@@ -17,11 +17,11 @@
 
 namespace flintglade::commands {
 
-class Fellow {
+class FleetMember {
  public:
   // watch is borrowed. Nothing is sent before start().
-  Fellow(boost::asio::io_context& io, core::Clock& clock, discovery::Watch& watch, const deploy::Fleet& file,
-         const config::Config& config);
+  FleetMember(boost::asio::io_context& io, core::Clock& clock, discovery::Watch& watch,
+              const deploy::Fleet& file, const config::Config& config);
 
   // What the core asks for its list: the watch, or what one router of the site reads for all.
   core::ReplicaList& list();
--- a/src/commands/succession.cpp
+++ b/src/commands/handoff.cpp
@@ -1,4 +1,4 @@
-#include "commands/succession.h"
+#include "commands/handoff.h"
 
 #include <unistd.h>
 
@@ -20,9 +20,9 @@
 constexpr std::chrono::milliseconds kMoveEvery{10};
 }  // namespace
 
-Succession::Succession(boost::asio::io_context& io, core::Clock& clock, core::Broker& broker,
-                       http::HttpFront& front, http::HttpSubchannels& replicas, handover::Seats& seats,
-                       const config::Config& config)
+Handoff::Handoff(boost::asio::io_context& io, core::Clock& clock, core::Broker& broker,
+                 http::HttpFront& front, http::HttpSubchannels& replicas, handover::Seats& seats,
+                 const config::Config& config)
     : clock_(clock),
       broker_(broker),
       front_(front),
@@ -37,7 +37,7 @@
   discovery(config.discovery);
 }
 
-void Succession::start() {
+void Handoff::start() {
   const std::string why = passage_.open(
       folder_, seats_.seat(),
       [this](std::string_view bytes, Passage::Descriptors descriptors) { moves_.in(bytes, descriptors); });
@@ -49,7 +49,7 @@
   take_state();
 }
 
-void Succession::watch() {
+void Handoff::watch() {
   changes_.async_read_some(boost::asio::buffer(events_), [this](boost::system::error_code ec, std::size_t n) {
     if (ec) return;
     seats_changed(n);
@@ -57,7 +57,7 @@
   });
 }
 
-void Succession::seats_changed(std::size_t bytes) {
+void Handoff::seats_changed(std::size_t bytes) {
   front_.look();
   const auto others = seats_.others();
   if (others.empty()) return shelf_.clear();
@@ -73,13 +73,13 @@
   }
 }
 
-void Succession::leave_state() {
+void Handoff::leave_state() {
   shelf_.save(handover::write_state(broker_.hand(), origin_, clock_.now()), [](const std::string& why) {
     if (!why.empty()) log::event(Level::warn, "state_not_left", {{"why", why}});
   });
 }
 
-void Succession::take_state() {
+void Handoff::take_state() {
   shelf_.load(handover::kMostState, [this](const std::string& bytes) {
     if (bytes.empty() || broker_.phase() == core::Phase::draining) return;
     core::Broker::Handed state;
@@ -97,7 +97,7 @@
   });
 }
 
-bool Succession::hand_over() {
+bool Handoff::hand_over() {
   for (const handover::Use& o : seats_.others()) {
     if (o.stage == Stage::serving) heir_ = o.seat;
   }
@@ -111,14 +111,14 @@
   return true;
 }
 
-void Succession::keep_moving() {
+void Handoff::keep_moving() {
   again_.expires_after(kMoveEvery);
   again_.async_wait([this](boost::system::error_code ec) {
     if (!ec && heir_) keep_moving();
   });
 }
 
-void Succession::idle() {
+void Handoff::idle() {
   if (!heir_) return;
   moves_.out([this](std::string_view bytes, Passage::Descriptors descriptors) {
     const Passage::Sent sent = Passage::send(folder_, *heir_, bytes, descriptors);
--- a/src/commands/succession.h
+++ b/src/commands/handoff.h
@@ -19,11 +19,11 @@
 
 namespace flintglade::commands {
 
-class Succession {
+class Handoff {
  public:
   // For a process that has a seat.
-  Succession(boost::asio::io_context& io, core::Clock& clock, core::Broker& broker, http::HttpFront& front,
-             http::HttpSubchannels& replicas, handover::Seats& seats, const config::Config& config);
+  Handoff(boost::asio::io_context& io, core::Clock& clock, core::Broker& broker, http::HttpFront& front,
+          http::HttpSubchannels& replicas, handover::Seats& seats, const config::Config& config);
 
   void start();
   // SIGTERM: what is known and the answers that run go to the process that serves from now on. False: there
--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -15,8 +15,8 @@
 #include "admin/server.h"
 #include "commands/clock.h"
 #include "commands/commands.h"
-#include "commands/fellow.h"
-#include "commands/succession.h"
+#include "commands/fleet_member.h"
+#include "commands/handoff.h"
 #include "config/config.h"
 #include "config/labels.h"
 #include "core/broker.h"
@@ -33,7 +33,7 @@
 #include "membership/sources.h"
 #include "operator/operator_file.h"
 #include "pcap/replay.h"
-#include "tls/keeper.h"
+#include "tls/certificate_provider.h"
 
 namespace flintglade::commands {
 namespace {
@@ -71,8 +71,9 @@
 };
 std::string read_keys(const deploy::KServe& file, bool front, bool replica, Keys& out) {
   std::string error;
-  if (front) error = tls::Keeper::read(kserve::front_files(file), out.front);
-  if (replica && error.empty()) error = tls::Keeper::read(kserve::replica_files(file), out.replica);
+  if (front) error = tls::CertificateProvider::read(kserve::front_files(file), out.front);
+  if (replica && error.empty())
+    error = tls::CertificateProvider::read(kserve::replica_files(file), out.replica);
   return error;
 }
 
@@ -206,11 +207,11 @@
   std::unique_ptr<membership::Sources> sources;
   if (file.has_membership())
     sources = std::make_unique<membership::Sources>(io, clock, watch, file.membership(), specs);
-  std::optional<Fellow> fellow;
-  if (file.has_fleet()) fellow.emplace(io, clock, watch, file.fleet(), config);
-  core::ReplicaList& list = sources  ? static_cast<core::ReplicaList&>(*sources)
-                            : fellow ? fellow->list()
-                                     : watch;
+  std::optional<FleetMember> fleet_member;
+  if (file.has_fleet()) fleet_member.emplace(io, clock, watch, file.fleet(), config);
+  core::ReplicaList& list = sources        ? static_cast<core::ReplicaList&>(*sources)
+                            : fleet_member ? fleet_member->list()
+                                           : watch;
   core::Broker broker(settings, config.module, config.seed, clock, list);
   core = &broker;
   if (log::enabled(Level::debug)) broker.trace(write_trace);
@@ -268,7 +269,7 @@
                 {"at", config::host_port(config.admin.host, admin.port())}});
   }
 
-  std::unique_ptr<tls::Keeper> front_keys, replica_keys;
+  std::unique_ptr<tls::CertificateProvider> front_keys, replica_keys;
   const auto use_keys = [&](const deploy::KServe& from, Keys keys, bool front_too, bool replica_too) {
     if (front_keys && front_too)
       front_keys->use(kserve::front_files(from), look_every(from.tls()), std::move(keys.front));
@@ -280,8 +281,9 @@
     Keys keys;
     error = read_keys(file.kserve(), file.kserve().has_tls(), file.kserve().has_replica_tls(), keys);
     if (!error.empty()) return diagnose(error);
-    if (file.kserve().has_tls()) front_keys = std::make_unique<tls::Keeper>(io, "front");
-    if (file.kserve().has_replica_tls()) replica_keys = std::make_unique<tls::Keeper>(io, "replicas");
+    if (file.kserve().has_tls()) front_keys = std::make_unique<tls::CertificateProvider>(io, "front");
+    if (file.kserve().has_replica_tls())
+      replica_keys = std::make_unique<tls::CertificateProvider>(io, "replicas");
     use_keys(file.kserve(), std::move(keys), true, true);
   }
   std::unique_ptr<kserve::GrpcSubchannels> grpc_subchannels;
@@ -328,8 +330,8 @@
     replay.start([&broker] { broker.drain(); });
   }
 
-  std::optional<Succession> succession;
-  if (seats.seated()) succession.emplace(io, clock, broker, http_front, http_subchannels, seats, config);
+  std::optional<Handoff> handoff;
+  if (seats.seated()) handoff.emplace(io, clock, broker, http_front, http_subchannels, seats, config);
 
   const auto print_counters = [&] {
     std::vector<log::Field> fields{{"phase", core::to_string(broker.phase())}};
@@ -344,8 +346,8 @@
       fields.emplace_back("kserve_descriptions_failed", grpc_front->counters().descriptions_failed);
       fields.emplace_back("kserve_denied", grpc_front->counters().denied);
     }
-    const auto add_keys = [&fields](const tls::Keeper* keys, const char* taken, const char* refused,
-                                    const char* expires) {
+    const auto add_keys = [&fields](const tls::CertificateProvider* keys, const char* taken,
+                                    const char* refused, const char* expires) {
       if (keys == nullptr) return;
       fields.emplace_back(taken, keys->counters().taken);
       fields.emplace_back(refused, keys->counters().refused);
@@ -389,8 +391,8 @@
     if (sources && fresh_file.has_membership())
       sources->reload(fresh_file.membership(), std::move(fresh_specs));
     watch.move(fresh.discovery);
-    if (fellow) fellow->moved(fresh.discovery);
-    if (succession) succession->discovery(fresh.discovery);
+    if (fleet_member) fleet_member->moved(fresh.discovery);
+    if (handoff) handoff->discovery(fresh.discovery);
     const bool all = fresh.fixed == config.fixed &&
                      operator_file::fixed_part(fresh_file) == operator_file::fixed_part(file);
     log::event(Level::info, "reloaded",
@@ -410,8 +412,8 @@
     });
   };
   tell_unready(kFirstUnready);
-  if (succession) succession->start();
-  if (fellow) fellow->start(broker);
+  if (handoff) handoff->start();
+  if (fleet_member) fleet_member->start(broker);
   std::function<void(boost::system::error_code, int)> on_signal = [&](boost::system::error_code ec,
                                                                       int signal) {
     if (ec) return;
@@ -421,10 +423,10 @@
       reload();
     } else {
       log::event(Level::info, "draining", {{"open", broker.open_rpcs()}});
-      if (fellow) fellow->leave();
-      const bool followed = succession && succession->hand_over();
+      if (fleet_member) fleet_member->leave();
+      const bool followed = handoff && handoff->hand_over();
       broker.drain(followed);
-      if (config.accept_fd >= 0 && (!succession || followed)) http_front.stop_accepting();
+      if (config.accept_fd >= 0 && (!handoff || followed)) http_front.stop_accepting();
     }
     signals.async_wait(on_signal);
   };
@@ -434,7 +436,7 @@
       io, broker,
       [&](bool idle) {
         if (seats.seated()) broker.body_budget(mine().bodies);  // and the others see what this process uses
-        if (idle && succession) succession->idle();
+        if (idle && handoff) handoff->idle();
         if (broker.phase() == core::Phase::draining) broker.expecting(http_front.half_read());
       },
       [&] {
--- a/src/commands/shares.cpp
+++ b/src/commands/shares.cpp
@@ -87,7 +87,7 @@
       unknown_.push_back(b.team);
   }
   // What the member's side has for us, on its thread.
-  shared::Commons::Ports ports;
+  shared::SharedState::Ports ports;
   ports.unix_time = unix_now;
   ports.parcel = [this](const fleet::Parcel& p) {
     asio::post(io_, [this, p] { wallet_.parcel(wallet_time(clock_.now()), p); });
@@ -96,8 +96,9 @@
     asio::post(io_, [this, who, ask] {
       const auto parcel = wallet_.lend(wallet_time(clock_.now()), who, ask);
       if (!parcel || member_ == nullptr) return;
-      member_->with_agent(
-          [this, who, p = *parcel](Micros now, fleet::Agent& agent) { commons_->lent(now, agent, who, p); });
+      member_->with_agent([this, who, p = *parcel](Micros now, fleet::Agent& agent) {
+        shared_state_->lent(now, agent, who, p);
+      });
     });
   };
   ports.opinions = [this](std::vector<shared::Opinion> opinions, std::size_t routers, std::size_t sites) {
@@ -105,14 +106,16 @@
       heard(std::move(opinions), routers, sites);
     });
   };
-  commons_ = std::make_unique<shared::Commons>(set_, std::move(ports), self, config.seed ^ self.birth);
+  shared_state_ =
+      std::make_unique<shared::SharedState>(set_, std::move(ports), self, config.seed ^ self.birth);
 }
 
 void Shares::restore() {
   if (snapshot_.empty()) return;
   const std::string bytes = contents(snapshot_);
-  const std::string why =
-      bytes.size() > kLargestSnapshot ? "it is too large" : commons_->restore(fleet::Member::now(), bytes);
+  const std::string why = bytes.size() > kLargestSnapshot
+                              ? "it is too large"
+                              : shared_state_->restore(fleet::Member::now(), bytes);
   if (!why.empty())
     log::event(Level::warn, "counts_refused", {{"file", snapshot_}, {"why", why}, {"starts", "without"}});
 }
@@ -179,8 +182,8 @@
   if (questions.empty() && returns.empty()) return;
   member_->with_agent(
       [this, questions = std::move(questions), returns = std::move(returns)](Micros t, fleet::Agent& agent) {
-        for (const auto& q : questions) commons_->ask(t, agent, q.ask, q.to_peer);
-        for (const auto& r : returns) commons_->give_back(t, agent, r);
+        for (const auto& q : questions) shared_state_->ask(t, agent, q.ask, q.to_peer);
+        for (const auto& r : returns) shared_state_->give_back(t, agent, r);
       });
 }
 
@@ -192,9 +195,9 @@
   wallet_.status(wallet_time(now), status);
   member_->with_agent(
       [this, counts = counts(), status, avoided = avoided_, save_now](Micros t, fleet::Agent&) {
-        commons_->counted(t, counts);
-        commons_->core_says(status, avoided);
-        if (save_now) save(commons_->snapshot(t));
+        shared_state_->counted(t, counts);
+        shared_state_->core_says(status, avoided);
+        if (save_now) save(shared_state_->snapshot(t));
       });
 }
 
@@ -226,7 +229,7 @@
       next_seen_ = now + kSeenAgain;
       had_cases_ = !cases.empty();
       member_->with_agent(
-          [this, cases = std::move(cases)](Micros t, fleet::Agent&) { commons_->saw(t, cases); });
+          [this, cases = std::move(cases)](Micros t, fleet::Agent&) { shared_state_->saw(t, cases); });
     }
   }
   alarm_.expires_after(kLook);
--- a/src/commands/shares.h
+++ b/src/commands/shares.h
@@ -1,5 +1,5 @@
 // What this router shares with its fleet, between the core's thread and the member's: the wallet, the counts
-// and the witness are the core's, shared::Commons is the member's, and what goes between them is posted.
+// and the witness are the core's, shared::SharedState is the member's, and what goes between them is posted.
 #pragma once
 
 #include <boost/asio.hpp>
@@ -12,7 +12,7 @@
 #include "core/broker.h"
 #include "fleet/member.h"
 #include "operator.pb.h"
-#include "shared/commons.h"
+#include "shared/shared_state.h"
 #include "shared/wallet.h"
 
 namespace flintglade::commands {
@@ -24,7 +24,7 @@
   // self: as the member tells the others. member, core and log are borrowed and outlive it.
   Shares(boost::asio::io_context& io, core::Clock& clock, const deploy::Fleet& file,
          const config::Config& config, const peers::Self& self);
-  fleet::Companion* companion() { return commons_.get(); }
+  fleet::Companion* companion() { return shared_state_.get(); }
   void restore();  // what a process before this one has left; before the member starts
   void start(fleet::Member& member, core::Broker& core);
   void leave();  // what is left of parts of stocks goes back, and the counts are told once more
@@ -65,7 +65,7 @@
   std::set<core::ReplicaId> avoided_;  // by hearsay
   core::Broker* core_ = nullptr;
   fleet::Member* member_ = nullptr;
-  std::unique_ptr<shared::Commons> commons_;
+  std::unique_ptr<shared::SharedState> shared_state_;
   boost::asio::thread_pool disk_{1};
 };
 
--- a/src/fleet/agent.cpp
+++ b/src/fleet/agent.cpp
@@ -17,8 +17,8 @@
     : set_(std::move(settings)),
       random_(seed),
       swim_(set_.peers, set_.self, seed),
-      registrar_(set_.lease, set_.wanted),
-      tenure_(set_.lease, set_.self.name) {
+      lease_manager_(set_.lease, set_.wanted),
+      lease_holder_(set_.lease, set_.self.name) {
   for (const VoterAt& v : set_.voters) {
     Voter voter;
     voter.set_id(v.id);
@@ -37,9 +37,9 @@
         send(at, p);
       },
       [this](const Command& command, const Applied& applied) {
-        for (const Held& h : applied.renewed) registrar_.renewed(now_, command.renew().owner(), h);
+        for (const Held& h : applied.renewed) lease_manager_.renewed(now_, command.renew().owner(), h);
         if (command.has_grant() && applied.changed) {
-          registrar_.granted(now_, applied.job);
+          lease_manager_.granted(now_, applied.job);
           event("job_granted", {{"job", applied.job},
                                 {"number", std::to_string(node_->jobs().table().last_number())},
                                 {"to", command.grant().owner()}});
@@ -66,8 +66,8 @@
 }
 
 Micros Agent::next() const {
-  Micros at = std::min(swim_.next(), tenure_.next());
-  if (node_) at = std::min({at, node_->next(), registrar_.next()});
+  Micros at = std::min(swim_.next(), lease_holder_.next());
+  if (node_) at = std::min({at, node_->next(), lease_manager_.next()});
   if (!votes()) at = std::min(at, next_read_);
   return at;
 }
@@ -89,7 +89,7 @@
   if (swim_.displaced() && !displaced_) {
     displaced_ = true;
     event("displaced", {{"name", set_.self.name}, {"by", "a process of this name that began later"}}, true);
-    tenure_.record({}, 0);
+    lease_holder_.record({}, 0);
   }
   if (node_ && node_->halted() && !halted_told_) {
     halted_told_ = true;
@@ -100,17 +100,17 @@
     led_ = leads;
     event(leads ? "leads" : "leads_no_more", {{"term", std::to_string(node_->term())}});
     if (leads) {
-      registrar_.leads(now);
+      lease_manager_.leads(now);
       // What the terms before have left is committed by a first entry of this one.
       Command c;
       c.mutable_renew();
       node_->propose(now, c, [](bool, const std::string&, const Applied&) {});
     } else {
-      registrar_.follows();
+      lease_manager_.follows();
     }
   }
   if (leads) {
-    for (const Command& c : registrar_.decide(now, node_->jobs(), swim_.living()))
+    for (const Command& c : lease_manager_.decide(now, node_->jobs(), swim_.living()))
       node_->propose(now, c, [](bool, const std::string&, const Applied&) {});
   }
   if (votes()) {
@@ -136,18 +136,18 @@
     p.mutable_read()->set_revision(table_.revision());
     send(voter_at(now), p);
   }
-  tenure_.record(table(), swim_.self().birth);
-  for (const Release& r : tenure_.releases(now)) {
+  lease_holder_.record(table(), swim_.self().birth);
+  for (const Release& r : lease_holder_.releases(now)) {
     Command c;
     *c.mutable_release() = r;
     ask(now, c);
   }
-  if (const auto renew = tenure_.renewal(now)) {
+  if (const auto renew = lease_holder_.renewal(now)) {
     Command c;
     *c.mutable_renew() = *renew;
     ask(now, c);
   }
-  for (const Tenure::Change& c : tenure_.changes(now)) {
+  for (const LeaseHolder::Change& c : lease_holder_.changes(now)) {
     event(c.starts ? "job_starts" : "job_stops",
           c.starts ? std::vector<std::pair<std::string, std::string>>{{"job", c.job},
                                                                       {"number", std::to_string(c.number)}}
@@ -183,7 +183,7 @@
     node_->propose(
         now, command,
         [this, sent = now, renew = command.has_renew()](bool done, const std::string&, const Applied& a) {
-          if (done && renew) tenure_.renewed(sent, a.renewed);
+          if (done && renew) lease_holder_.renewed(sent, a.renewed);
         });
     return;
   }
@@ -211,7 +211,8 @@
     return;
   }
   heard_voter_ = now;
-  if (asked.renew) tenure_.renewed(asked.sent, std::vector<Held>(reply.held().begin(), reply.held().end()));
+  if (asked.renew)
+    lease_holder_.renewed(asked.sent, std::vector<Held>(reply.held().begin(), reply.held().end()));
 }
 
 void Agent::answer(Micros now, const std::string& to, const Request& request) {
@@ -251,7 +252,7 @@
 // What goes into the log counts already for what is decided next.
 void Agent::goes_in(Micros now, const Command& command) {
   for (const Held& h : node_->jobs().still(command.renew()))
-    registrar_.renewed(now, command.renew().owner(), h);
+    lease_manager_.renewed(now, command.renew().owner(), h);
 }
 
 // ---- the record
@@ -367,11 +368,11 @@
 }
 
 bool Agent::effect(Micros now, Effect effect, const std::string& site, const std::string& to) {
-  if (!tenure_.proved(now, effect.job())) {
+  if (!lease_holder_.proved(now, effect.job())) {
     ++effects_unproved_;
     return false;
   }
-  for (const Held& h : tenure_.held(now)) {
+  for (const Held& h : lease_holder_.held(now)) {
     if (h.job() == effect.job()) effect.set_number(h.number());
   }
   effect.set_sequence(++sequence_);
@@ -430,7 +431,7 @@
   if (leaving_ >= 0) return;
   now_ = now;
   leaving_ = now;
-  tenure_.give_up_all();
+  lease_holder_.give_up_all();
   settle(now);
   swim_.leave(now);
 }
@@ -465,7 +466,7 @@
   }
   *s.mutable_table() = table();
   for (const Voter& v : voters_) *s.add_voters() = v;
-  for (const Held& h : tenure_.held(now)) *s.add_held() = h;
+  for (const Held& h : lease_holder_.held(now)) *s.add_held() = h;
   *s.add_routers() = peers::word_of(swim_.self());
   for (const auto& [name, p] : swim_.others()) *s.add_routers() = peers::word_of(p);
   s.set_health(swim_.health());
--- a/src/fleet/agent.h
+++ b/src/fleet/agent.h
@@ -1,7 +1,7 @@
 // A router's part in its fleet: who is there (peers::Swim), the voter if it is one (Node), what the leader
-// decides (Registrar), its own jobs (Tenure) and what it takes from other owners (Fence), and the datagrams
-// between them. Pure: time and datagrams are handed in, what is to be sent is taken out. One clock for all
-// times, which also runs while the machine sleeps.
+// decides (LeaseManager), its own jobs (LeaseHolder) and what it takes from other owners (Fence), and the
+// datagrams between them. Pure: time and datagrams are handed in, what is to be sent is taken out. One clock
+// for all times, which also runs while the machine sleeps.
 #pragma once
 
 #include <deque>
@@ -15,9 +15,9 @@
 #include <vector>
 
 #include "fleet/fence.h"
+#include "fleet/lease_holder.h"
+#include "fleet/lease_manager.h"
 #include "fleet/node.h"
-#include "fleet/registrar.h"
-#include "fleet/tenure.h"
 #include "peers/swim.h"
 
 namespace flintglade::fleet {
@@ -95,7 +95,7 @@
   const Node* node() const { return node_.get(); }
   const Table& table() const { return votes() ? node_->jobs().table() : table_; }
   const Fence& fence() const { return fence_; }
-  bool proved(Micros now, const std::string& job) const { return tenure_.proved(now, job); }
+  bool proved(Micros now, const std::string& job) const { return lease_holder_.proved(now, job); }
   // Who owns it by the record; null: nobody, or a router that this one does not know.
   const peers::Peer* owner(const std::string& job) const;
   bool displaced() const { return displaced_; }
@@ -126,8 +126,8 @@
   std::mt19937_64 random_;
   peers::Swim swim_;
   std::unique_ptr<Node> node_;
-  Registrar registrar_;
-  Tenure tenure_;
+  LeaseManager lease_manager_;
+  LeaseHolder lease_holder_;
   Fence fence_;
   Table table_;  // by what voters said, where this router is none
   std::vector<Voter> voters_;
--- a/src/fleet/tenure.cpp
+++ b/src/fleet/lease_holder.cpp
@@ -1,4 +1,4 @@
-#include "fleet/tenure.h"
+#include "fleet/lease_holder.h"
 
 #include <algorithm>
 #include <utility>
@@ -8,7 +8,7 @@
 constexpr Micros kReleaseAgain = 100 * core::kMilli;
 }
 
-void Tenure::record(const Table& table, std::uint64_t birth) {
+void LeaseHolder::record(const Table& table, std::uint64_t birth) {
   birth_ = birth;
   std::map<std::string, Mine> now;
   for (const Job& j : table.jobs()) {
@@ -29,7 +29,7 @@
   mine_ = std::move(now);
 }
 
-std::optional<Renew> Tenure::renewal(Micros now) {
+std::optional<Renew> LeaseHolder::renewal(Micros now) {
   if (now < next_renewal_ || mine_.empty()) return std::nullopt;
   Renew out;
   out.set_owner(name_);
@@ -46,7 +46,7 @@
   return out;
 }
 
-void Tenure::renewed(Micros sent, const std::vector<Held>& held) {
+void LeaseHolder::renewed(Micros sent, const std::vector<Held>& held) {
   for (const Held& h : held) {
     const auto it = mine_.find(h.job());
     if (it == mine_.end() || it->second.number != h.number() || it->second.released >= 0) continue;
@@ -54,7 +54,7 @@
   }
 }
 
-std::vector<Release> Tenure::releases(Micros now) {
+std::vector<Release> LeaseHolder::releases(Micros now) {
   std::vector<Release> out;
   for (auto& [job, mine] : mine_) {
     if ((!mine.unwanted && !leaving_ && mine.released < 0) ||
@@ -74,12 +74,12 @@
   return out;
 }
 
-bool Tenure::proved(Micros now, const std::string& job) const {
+bool LeaseHolder::proved(Micros now, const std::string& job) const {
   const auto it = mine_.find(job);
   return it != mine_.end() && now < it->second.until;
 }
 
-std::vector<Held> Tenure::held(Micros now) const {
+std::vector<Held> LeaseHolder::held(Micros now) const {
   std::vector<Held> out;
   for (const auto& [job, mine] : mine_) {
     if (now >= mine.until) continue;
@@ -90,7 +90,7 @@
   return out;
 }
 
-std::vector<Tenure::Change> Tenure::changes(Micros now) {
+std::vector<LeaseHolder::Change> LeaseHolder::changes(Micros now) {
   std::vector<Change> out = std::exchange(stopped_, {});
   for (auto& [job, mine] : mine_) {
     const bool may = now < mine.until;
@@ -101,7 +101,7 @@
   return out;
 }
 
-Micros Tenure::next() const {
+Micros LeaseHolder::next() const {
   Micros at = core::kNever;
   for (const auto& [job, mine] : mine_) {
     at = std::min(at, next_renewal_);
--- a/src/fleet/tenure.h
+++ b/src/fleet/lease_holder.h
@@ -7,11 +7,11 @@
 #include <string>
 #include <vector>
 
-#include "fleet/registrar.h"
+#include "fleet/lease_manager.h"
 
 namespace flintglade::fleet {
 
-class Tenure {
+class LeaseHolder {
  public:
   struct Change {
     std::string job;
@@ -20,7 +20,7 @@
     std::string why;
   };
 
-  Tenure(LeaseTimes times, std::string name) : times_(times), name_(std::move(name)) {}
+  LeaseHolder(LeaseTimes times, std::string name) : times_(times), name_(std::move(name)) {}
 
   // What the record says now. Jobs that are another's, or of an earlier life of this router, are given up.
   void record(const Table& table, std::uint64_t birth);
--- a/src/fleet/registrar.cpp
+++ b/src/fleet/lease_manager.cpp
@@ -1,4 +1,4 @@
-#include "fleet/registrar.h"
+#include "fleet/lease_manager.h"
 
 #include <algorithm>
 
@@ -19,8 +19,8 @@
 }
 }  // namespace
 
-const peers::Peer* Registrar::choose(const Wanted& job, const std::vector<peers::Peer>& living,
-                                     const std::set<std::string>& but_not) {
+const peers::Peer* LeaseManager::choose(const Wanted& job, const std::vector<peers::Peer>& living,
+                                        const std::set<std::string>& but_not) {
   const peers::Peer* best = nullptr;
   std::uint64_t best_rank = 0;
   for (const peers::Peer& p : living) {
@@ -35,7 +35,7 @@
   return best;
 }
 
-void Registrar::leads(Micros now) {
+void LeaseManager::leads(Micros now) {
   leading_ = true;
   since_ = now;
   over_.clear();
@@ -43,16 +43,17 @@
   silent_.clear();
 }
 
-void Registrar::renewed(Micros now, const std::string& owner, const Held& held) {
+void LeaseManager::renewed(Micros now, const std::string& owner, const Held& held) {
   over_[held.job()] = now + times_.lease + times_.margin();
   silent_.erase(owner);
 }
-void Registrar::granted(Micros now, const std::string& job) {
+void LeaseManager::granted(Micros now, const std::string& job) {
   over_[job] = now + kUnclaimed;
   asked_.erase(job);
 }
 
-std::vector<Command> Registrar::decide(Micros now, const Jobs& jobs, const std::vector<peers::Peer>& living) {
+std::vector<Command> LeaseManager::decide(Micros now, const Jobs& jobs,
+                                          const std::vector<peers::Peer>& living) {
   std::vector<Command> out;
   next_ = core::kNever;
   if (!leading_) return out;
--- a/src/fleet/registrar.h
+++ b/src/fleet/lease_manager.h
@@ -31,9 +31,9 @@
   }  // clocks may run 10% apart, or stand apart by as much in one lease
 };
 
-class Registrar {
+class LeaseManager {
  public:
-  Registrar(LeaseTimes times, std::vector<Wanted> wanted) : times_(times), wanted_(std::move(wanted)) {}
+  LeaseManager(LeaseTimes times, std::vector<Wanted> wanted) : times_(times), wanted_(std::move(wanted)) {}
 
   void leads(Micros now);  // from now on; whatever was renewed before has to run out first
   void follows() { leading_ = false; }
--- a/src/fleet/table.h
+++ b/src/fleet/table.h
@@ -1,6 +1,6 @@
 // The record that voters agree on: who owns which job, under which number. Pure and deterministic: the same
 // commands in the same order give the same table everywhere. No time stands in it; leases are the leader's
-// (registrar.h) and the owner's (tenure.h).
+// (lease_manager.h) and the owner's (lease_holder.h).
 #pragma once
 
 #include <cstdint>
--- a/src/kserve/credentials.cpp
+++ b/src/kserve/credentials.cpp
@@ -15,7 +15,8 @@
 // at each handshake, which is what a checked reload needs.
 class Fetched final : public grpc::ServerCredentials {
  public:
-  Fetched(const tls::Keeper& keeper, bool clients_need_one) : keeper_(keeper) {
+  Fetched(const tls::CertificateProvider& certificate_provider, bool clients_need_one)
+      : certificate_provider_(certificate_provider) {
     credentials_ = grpc_ssl_server_credentials_create_with_options(
         grpc_ssl_server_credentials_create_options_using_config_fetcher(
             clients_need_one ? GRPC_SSL_REQUEST_AND_REQUIRE_CLIENT_CERTIFICATE_AND_VERIFY
@@ -33,9 +34,9 @@
   static grpc_ssl_certificate_config_reload_status fetch(void* self,
                                                          grpc_ssl_server_certificate_config** out) {
     auto& me = *static_cast<Fetched*>(self);
-    const std::uint64_t generation = me.keeper_.generation();
+    const std::uint64_t generation = me.certificate_provider_.generation();
     if (generation == me.fetched_) return GRPC_SSL_CERTIFICATE_CONFIG_RELOAD_UNCHANGED;
-    const tls::Material m = me.keeper_.current();
+    const tls::Material m = me.certificate_provider_.current();
     const grpc_ssl_pem_key_cert_pair pair{m.key.c_str(), m.certificate.c_str()};
     // gRPC 1.51 aborts where a fetched configuration has no roots, wanted or not. Where no client is asked
     // for a certificate nobody reads them, and the server's own stands in.
@@ -45,7 +46,7 @@
     me.fetched_ = generation;
     return GRPC_SSL_CERTIFICATE_CONFIG_RELOAD_NEW;
   }
-  const tls::Keeper& keeper_;
+  const tls::CertificateProvider& certificate_provider_;
   std::uint64_t fetched_ = 0;
   grpc_server_credentials* credentials_;
 };
@@ -61,9 +62,9 @@
 
 }  // namespace
 
-std::shared_ptr<grpc::ServerCredentials> server_credentials(const tls::Keeper& keeper,
-                                                            bool clients_need_one) {
-  return std::make_shared<Fetched>(keeper, clients_need_one);
+std::shared_ptr<grpc::ServerCredentials> server_credentials(
+    const tls::CertificateProvider& certificate_provider, bool clients_need_one) {
+  return std::make_shared<Fetched>(certificate_provider, clients_need_one);
 }
 
 std::shared_ptr<grpc::ChannelCredentials> channel_credentials(const tls::Material& material) {
--- a/src/kserve/credentials.h
+++ b/src/kserve/credentials.h
@@ -9,14 +9,15 @@
 #include <vector>
 
 #include "config/config.h"
-#include "tls/keeper.h"
+#include "tls/certificate_provider.h"
 
 namespace flintglade::kserve {
 
-// Each handshake takes what the keeper has in force then; connections that are up keep what they began with.
-// With clients_need_one, a client without a certificate by one of the roots is refused in its handshake.
-// The keeper must outlive the server.
-std::shared_ptr<grpc::ServerCredentials> server_credentials(const tls::Keeper& keeper, bool clients_need_one);
+// Each handshake takes what the provider has in force then; connections that are up keep what they began
+// with. With clients_need_one, a client without a certificate by one of the roots is refused in its
+// handshake. The provider must outlive the server.
+std::shared_ptr<grpc::ServerCredentials> server_credentials(
+    const tls::CertificateProvider& certificate_provider, bool clients_need_one);
 
 std::shared_ptr<grpc::ChannelCredentials> channel_credentials(const tls::Material& material);
 
--- a/src/kserve/front.cpp
+++ b/src/kserve/front.cpp
@@ -476,7 +476,7 @@
 };
 
 GrpcFront::GrpcFront(boost::asio::io_context& io, core::Broker& broker, FrontSettings file,
-                     config::Labels labels, std::string name, const tls::Keeper* keys)
+                     config::Labels labels, std::string name, const tls::CertificateProvider* keys)
     : io_(io),
       broker_(broker),
       file_(std::move(file)),
--- a/src/kserve/front.h
+++ b/src/kserve/front.h
@@ -20,7 +20,7 @@
 #include "kserve/connections.h"
 #include "kserve/descriptions.h"
 #include "kserve/models.h"
-#include "tls/keeper.h"
+#include "tls/certificate_provider.h"
 
 namespace flintglade::kserve {
 
@@ -28,7 +28,7 @@
  public:
   // keys: of the server; null: it speaks without encryption.
   GrpcFront(boost::asio::io_context& io, core::Broker& broker, FrontSettings file, config::Labels labels,
-            std::string name, const tls::Keeper* keys = nullptr);
+            std::string name, const tls::CertificateProvider* keys = nullptr);
   ~GrpcFront();
   std::string listen();  // empty, or one line that says what is wrong
   int port() const { return port_; }
@@ -72,7 +72,7 @@
   FrontSettings file_;
   config::Labels labels_;
   std::string name_;
-  const tls::Keeper* keys_;
+  const tls::CertificateProvider* keys_;
   std::set<std::shared_ptr<Call>> calls_;
   std::unique_ptr<Standard> standard_;
   std::unique_ptr<Infer> infer_;
--- a/src/kserve/subchannels.h
+++ b/src/kserve/subchannels.h
@@ -13,16 +13,16 @@
 
 #include "core/broker.h"
 #include "core/ports.h"
-#include "tls/keeper.h"
+#include "tls/certificate_provider.h"
 
 namespace flintglade::kserve {
 
 struct SubchannelSettings {
   core::Micros dial_timeout = 150 * core::kMilli;
-  std::uint16_t replica_port = 0;     // 0: replicas speak gRPC at the very endpoint that discovery gives
-  core::Micros ping = 0;              // HTTP/2 keep-alive while a call is open; 0: none
-  const tls::Keeper* keys = nullptr;  // null: without encryption
-  std::string server_name;            // which certificates must have; empty: the replica's address
+  std::uint16_t replica_port = 0;  // 0: replicas speak gRPC at the very endpoint that discovery gives
+  core::Micros ping = 0;           // HTTP/2 keep-alive while a call is open; 0: none
+  const tls::CertificateProvider* keys = nullptr;  // null: without encryption
+  std::string server_name;  // which certificates must have; empty: the replica's address
 };
 
 class GrpcSubchannels final : public core::Subchannels {
--- a/src/shared/commons.cpp
+++ b/src/shared/shared_state.cpp
@@ -1,4 +1,4 @@
-#include "shared/commons.h"
+#include "shared/shared_state.h"
 
 #include <zlib.h>
 
@@ -22,7 +22,7 @@
 }
 }  // namespace
 
-Commons::Commons(Settings settings, Ports ports, const peers::Self& self, std::uint64_t seed)
+SharedState::SharedState(Settings settings, Ports ports, const peers::Self& self, std::uint64_t seed)
     : set_(std::move(settings)),
       ports_(std::move(ports)),
       self_(self.name, self.birth),
@@ -34,7 +34,7 @@
 
 // ---- what this router has to say
 
-void Commons::ask(Micros now, fleet::Agent& agent, const fleet::Ask& ask, bool to_peer) {
+void SharedState::ask(Micros now, fleet::Agent& agent, const fleet::Ask& ask, bool to_peer) {
   if (!to_peer && is_bank(now, agent)) {
     if (const auto p = bank_.asked(now, self_.first, self_.second, ask)) ports_.parcel(*p);
     return;
@@ -50,13 +50,13 @@
   share(now, agent, others[random_() % others.size()]->name, std::move(s));
 }
 
-void Commons::lent(Micros now, fleet::Agent& agent, const std::string& to, const fleet::Parcel& parcel) {
+void SharedState::lent(Micros now, fleet::Agent& agent, const std::string& to, const fleet::Parcel& parcel) {
   fleet::Share s;
   *s.mutable_parcel() = parcel;
   share(now, agent, to, std::move(s));
 }
 
-void Commons::give_back(Micros now, fleet::Agent& agent, const fleet::Return& back) {
+void SharedState::give_back(Micros now, fleet::Agent& agent, const fleet::Return& back) {
   if (bank_.open() && bank_.number() == back.bank()) {
     bank_.returned(now, self_.first, back);
     return;
@@ -70,11 +70,11 @@
   }
 }
 
-void Commons::counted(Micros now, const Ledger::Counts& counts) {
+void SharedState::counted(Micros now, const Ledger::Counts& counts) {
   if (set_.counts && ledger_.seal(now, counts)) ledger_.rows().all()[self_].passes = 4;
 }
 
-void Commons::saw(Micros now, std::vector<fleet::Case> cases) {
+void SharedState::saw(Micros now, std::vector<fleet::Case> cases) {
   fleet::Seen seen;
   seen.set_name(self_.first);
   seen.set_birth(self_.second);
@@ -87,7 +87,7 @@
 
 // ---- what comes
 
-bool Commons::sane(const fleet::Seen& seen) const {
+bool SharedState::sane(const fleet::Seen& seen) const {
   if (seen.name().empty() || seen.name().size() > kMostName || seen.site().size() > kMostName ||
       seen.version() == 0 || seen.version() > kMostVersion || seen.birth() == 0 || seen.age_us() < 0 ||
       seen.age_us() > kMostAge || static_cast<std::size_t>(seen.cases_size()) > set_.most_cases)
@@ -96,13 +96,13 @@
                      [](const fleet::Case& c) { return c.age_us() >= 0 && c.age_us() <= kMostAge; });
 }
 
-void Commons::absurd(fleet::Agent& agent, const std::string& from, const std::string& what) {
+void SharedState::absurd(fleet::Agent& agent, const std::string& from, const std::string& what) {
   ++counters_.absurd;
   agent.event("share_refused", {{"from", from}, {"why", what}}, true);
 }
 
 // How much longer than the quickest one of this life this packet was on its way.
-Micros Commons::late(Micros now, const std::string& who, std::uint64_t birth, Micros sent) {
+Micros SharedState::late(Micros now, const std::string& who, std::uint64_t birth, Micros sent) {
   if (clocks_.size() >= kMostClocks && clocks_.count(who) == 0) clocks_.erase(clocks_.begin());
   Clock& c = clocks_[who];
   const Micros apart = now - sent;
@@ -111,7 +111,7 @@
   return apart - c.least;
 }
 
-Micros Commons::fleet_time(Micros now) const {
+Micros SharedState::fleet_time(Micros now) const {
   std::vector<Micros> apart{0};
   for (const auto& [who, c] : clocks_) {
     if (c.heard >= 0 && now - c.heard < kClockKept) apart.push_back(c.unix_apart);
@@ -120,7 +120,7 @@
   return ports_.unix_time() + apart[apart.size() / 2];
 }
 
-void Commons::receive(Micros now, fleet::Agent& agent, const fleet::Agent::Word& word) {
+void SharedState::receive(Micros now, fleet::Agent& agent, const fleet::Agent::Word& word) {
   using What = fleet::Agent::Word::What;
   if (word.job == kBankJob && word.what == What::starts) {
     bank_.starts(now, word.number);
@@ -161,8 +161,8 @@
   }
 }
 
-void Commons::answer(Micros now, fleet::Agent& agent, const std::string&, const std::string& who,
-                     std::uint64_t birth, const fleet::Ask& ask) {
+void SharedState::answer(Micros now, fleet::Agent& agent, const std::string&, const std::string& who,
+                         std::uint64_t birth, const fleet::Ask& ask) {
   if (ask.want() < 0 || ask.want() > kMostAmount || ask.demand() < 0 || ask.demand() > kMostAmount)
     return absurd(agent, who, "an amount that cannot be");
   if (!is_bank(now, agent)) return ports_.lend(who, ask);
@@ -173,8 +173,8 @@
   share(now, agent, who, std::move(s));
 }
 
-void Commons::take(Micros now, fleet::Agent& agent, const fleet::News& news, Micros longer,
-                   const std::string& from) {
+void SharedState::take(Micros now, fleet::Agent& agent, const fleet::News& news, Micros longer,
+                       const std::string& from) {
   std::string wrong;
   for (const fleet::Row& row : news.rows()) {
     const std::string why = ledger_.take(now, row, longer, passes(agent));
@@ -196,7 +196,7 @@
 }
 
 // Who has the newer version of a row sends it; what is newer there is asked for, once.
-void Commons::take(Micros now, fleet::Agent& agent, const fleet::Digest& digest, const std::string& who) {
+void SharedState::take(Micros now, fleet::Agent& agent, const fleet::Digest& digest, const std::string& who) {
   std::map<Life, std::uint64_t> marks;
   for (const fleet::Mark& m : digest.marks()) {
     if (marks.size() < 2 * kMarks) marks[{m.name(), m.birth()}] = m.version();
@@ -241,7 +241,7 @@
 
 // ---- what goes out
 
-std::vector<const peers::Peer*> Commons::living(const fleet::Agent& agent) const {
+std::vector<const peers::Peer*> SharedState::living(const fleet::Agent& agent) const {
   std::vector<const peers::Peer*> out;
   for (const auto& [name, p] : agent.peers().others()) {
     if (p.standing == fleet::ALIVE || p.standing == fleet::SUSPECT) out.push_back(&p);
@@ -249,11 +249,11 @@
   return out;
 }
 
-int Commons::passes(const fleet::Agent& agent) const {
+int SharedState::passes(const fleet::Agent& agent) const {
   return 2 + static_cast<int>(std::log2(1.0 + static_cast<double>(agent.peers().others().size())) / 2);
 }
 
-void Commons::share(Micros now, fleet::Agent& agent, const std::string& to, fleet::Share share) {
+void SharedState::share(Micros now, fleet::Agent& agent, const std::string& to, fleet::Share share) {
   const auto it = agent.peers().others().find(to);
   if (it == agent.peers().others().end()) return;
   share.set_sent_us(now);
@@ -263,7 +263,7 @@
   agent.share(to, it->second.at, share);
 }
 
-void Commons::gossip(Micros now, fleet::Agent& agent) {
+void SharedState::gossip(Micros now, fleet::Agent& agent) {
   const auto others = living(agent);
   fleet::Share s;
   std::size_t bytes = 0;
@@ -285,7 +285,7 @@
   for (const peers::Peer* p : to) share(now, agent, p->name, s);
 }
 
-void Commons::compare(Micros now, fleet::Agent& agent) {
+void SharedState::compare(Micros now, fleet::Agent& agent) {
   const auto others = living(agent);
   if (others.empty()) return;
   fleet::Share s;
@@ -309,7 +309,7 @@
   share(now, agent, others[random_() % others.size()]->name, std::move(s));
 }
 
-void Commons::tell_opinions(Micros now, const fleet::Agent& agent) {
+void SharedState::tell_opinions(Micros now, const fleet::Agent& agent) {
   std::erase_if(seen_.all(),
                 [&](const auto& h) { return h.first != self_ && now - h.second.sealed > 4 * set_.keep; });
   opinions_ = weigh(now, set_, seen_, self_.first);
@@ -323,7 +323,7 @@
   next_opinions_ = opinions_.empty() ? core::kNever : now + kOpinionTick;
 }
 
-void Commons::tick(Micros now, fleet::Agent& agent) {
+void SharedState::tick(Micros now, fleet::Agent& agent) {
   if (now >= next_gossip_) {
     next_gossip_ = now + set_.gossip;
     gossip(now, agent);
@@ -343,11 +343,13 @@
   }
 }
 
-Micros Commons::next() const { return std::min({next_gossip_, next_compare_, next_opinions_, next_bank_}); }
+Micros SharedState::next() const {
+  return std::min({next_gossip_, next_compare_, next_opinions_, next_bank_});
+}
 
 // ---- what lasts
 
-std::string Commons::snapshot(Micros now) const {
+std::string SharedState::snapshot(Micros now) const {
   fleet::News news;
   for (const auto& [life, h] : ledger_.rows().all()) *news.add_rows() = Heard<fleet::Row>::aged(now, h);
   const std::string body = news.SerializeAsString();
@@ -358,7 +360,7 @@
   return out + body;
 }
 
-std::string Commons::restore(Micros now, std::string_view bytes) {
+std::string SharedState::restore(Micros now, std::string_view bytes) {
   if (bytes.empty()) return "";
   const auto number = [&](std::size_t at) {
     std::uint32_t n = 0;
@@ -377,7 +379,7 @@
   return "";
 }
 
-void Commons::status(Micros now, const fleet::Agent& agent, fleet::Status& out) const {
+void SharedState::status(Micros now, const fleet::Agent& agent, fleet::Status& out) const {
   fleet::SharedStatus& s = *out.mutable_shared();
   s = wallet_;
   s.set_bank(is_bank(now, agent));
--- a/src/shared/commons.h
+++ b/src/shared/shared_state.h
@@ -19,7 +19,7 @@
 
 namespace flintglade::shared {
 
-class Commons final : public fleet::Companion {
+class SharedState final : public fleet::Companion {
  public:
   struct Ports {
     std::function<void(const fleet::Parcel&)> parcel;                      // for this router's wallet
@@ -28,7 +28,7 @@
     std::function<void(std::vector<Opinion>, std::size_t routers, std::size_t sites)> opinions;
     std::function<Micros()> unix_time;
   };
-  Commons(Settings settings, Ports ports, const peers::Self& self, std::uint64_t seed);
+  SharedState(Settings settings, Ports ports, const peers::Self& self, std::uint64_t seed);
 
   // ---- from this router's core
   void ask(Micros now, fleet::Agent& agent, const fleet::Ask& ask, bool to_peer);
--- a/src/tls/keeper.cpp
+++ b/src/tls/certificate_provider.cpp
@@ -1,4 +1,4 @@
-#include "tls/keeper.h"
+#include "tls/certificate_provider.h"
 
 #include <algorithm>
 #include <chrono>
@@ -18,16 +18,19 @@
 
 }  // namespace
 
-Keeper::Keeper(boost::asio::io_context& io, std::string name) : io_(io), name_(std::move(name)), timer_(io) {}
+CertificateProvider::CertificateProvider(boost::asio::io_context& io, std::string name)
+    : io_(io), name_(std::move(name)), timer_(io) {}
 
-Keeper::~Keeper() {
+CertificateProvider::~CertificateProvider() {
   *alive_ = false;
   disk_.join();
 }
 
-std::string Keeper::read(const Files& files, Material& out) { return tls::load(files, unix_now(), out); }
+std::string CertificateProvider::read(const Files& files, Material& out) {
+  return tls::load(files, unix_now(), out);
+}
 
-void Keeper::use(const Files& files, double look_every_s, Material material) {
+void CertificateProvider::use(const Files& files, double look_every_s, Material material) {
   files_ = files;
   every_s_ = look_every_s;
   wrong_.clear();
@@ -36,16 +39,16 @@
   plan();
 }
 
-Material Keeper::current() const {
+Material CertificateProvider::current() const {
   const std::lock_guard lock(mutex_);
   return current_;
 }
 
-std::int64_t Keeper::expires_in_s() const {
+std::int64_t CertificateProvider::expires_in_s() const {
   return std::max<std::int64_t>(0, current().not_after - unix_now());
 }
 
-void Keeper::plan() {
+void CertificateProvider::plan() {
   if (every_s_ <= 0.0) return;
   timer_.expires_after(std::chrono::microseconds(static_cast<std::int64_t>(every_s_ * 1e6)));
   timer_.async_wait([this](boost::system::error_code ec) {
@@ -60,7 +63,7 @@
   });
 }
 
-void Keeper::looked(const Files& files, const std::string& error, Material fresh) {
+void CertificateProvider::looked(const Files& files, const std::string& error, Material fresh) {
   if (files == files_) {  // else a reload has named others meanwhile
     if (error.empty()) {
       wrong_.clear();
@@ -79,7 +82,7 @@
   plan();
 }
 
-void Keeper::take(Material fresh) {
+void CertificateProvider::take(Material fresh) {
   const bool has = fresh.not_after != 0;
   const std::int64_t left = fresh.not_after - unix_now();
   {
--- a/src/tls/keeper.h
+++ b/src/tls/certificate_provider.h
@@ -13,10 +13,10 @@
 
 namespace flintglade::tls {
 
-class Keeper {
+class CertificateProvider {
  public:
-  Keeper(boost::asio::io_context& io, std::string name);  // the name is for the log
-  ~Keeper();
+  CertificateProvider(boost::asio::io_context& io, std::string name);  // the name is for the log
+  ~CertificateProvider();
   // Waits for the disk: for the start and for SIGHUP. Empty, or what is wrong.
   static std::string read(const Files& files, Material& out);
   // From now on in force, with the files that it was read from and the time between looks at them.
--- a/tests/fleet/sim.cpp
+++ b/tests/fleet/sim.cpp
@@ -32,7 +32,7 @@
   Micros offset = 0, paused_until = 0, down_until = 0, next_effect = 0;
   std::map<std::string, std::uint64_t> taken;  // the highest number whose effect it took
   // What it shares.
-  std::unique_ptr<shared::Commons> commons;
+  std::unique_ptr<shared::SharedState> shared_state;
   std::unique_ptr<shared::Wallet> wallet;
   shared::Ledger::Counts counts;
   double weight = 0;  // of all requests
@@ -170,8 +170,8 @@
 
   void flush(std::size_t i) {
     std::vector<fleet::Agent::Word> words = boxes_[i].agent->words();
-    if (Box& b = boxes_[i]; b.commons) {
-      for (const fleet::Agent::Word& w : words) b.commons->receive(b.local(now_), *b.agent, w);
+    if (Box& b = boxes_[i]; b.shared_state) {
+      for (const fleet::Agent::Word& w : words) b.shared_state->receive(b.local(now_), *b.agent, w);
     }
     for (peers::Datagram& d : boxes_[i].agent->take()) {
       for (std::size_t to = 0; to < boxes_.size(); ++to) {
@@ -213,7 +213,7 @@
       Box& b = boxes_[who];
       if (f.kind == Fault::Kind::pause) b.paused_until = std::max(b.paused_until, until);
       if (f.kind == Fault::Kind::crash && up(who)) {
-        b.commons.reset();
+        b.shared_state.reset();
         b.agent.reset();
         b.down_until = until;
         b.paused_until = 0;
@@ -238,7 +238,7 @@
       // A halted voter's process is started again by whoever looks after it.
       if (up(i) && boxes_[i].agent->node() != nullptr && boxes_[i].agent->node()->role() == "halted" &&
           now_ >= world_.faults_until * core::kMilli) {
-        boxes_[i].commons.reset();
+        boxes_[i].shared_state.reset();
         boxes_[i].agent.reset();
         boxes_[i].down_until = now_;
       }
@@ -314,16 +314,16 @@
     shared::Settings set;
     set.budgets = world_.budgets;
     set.most_per_s = 4 * world_.asked;
-    shared::Commons::Ports ports;
+    shared::SharedState::Ports ports;
     ports.unix_time = [this, i] { return unix_time(boxes_[i]); };
     ports.parcel = [this, i](const fleet::Parcel& p) { boxes_[i].wallet->parcel(boxes_[i].local(now_), p); };
     ports.lend = [this, i](const std::string& who, const fleet::Ask& ask) {
       Box& own = boxes_[i];
       if (const auto p = own.wallet->lend(own.local(now_), who, ask))
-        own.commons->lent(own.local(now_), *own.agent, who, *p);
+        own.shared_state->lent(own.local(now_), *own.agent, who, *p);
     };
     ports.opinions = [](std::vector<shared::Opinion>, std::size_t, std::size_t) {};
-    b.commons = std::make_unique<shared::Commons>(set, std::move(ports), b.settings.self, random_());
+    b.shared_state = std::make_unique<shared::SharedState>(set, std::move(ports), b.settings.self, random_());
     std::vector<shared::Budget> budgets = world_.budgets;
     for (shared::Budget& budget : budgets) {
       if (world_.aside_again) budget.aside = 0.6;
@@ -353,15 +353,16 @@
       }
       if (now_ >= b.next_ask) {
         b.next_ask = now_ + 50 * core::kMilli;
-        for (const auto& q : b.wallet->questions(local)) b.commons->ask(local, *b.agent, q.ask, q.to_peer);
-        for (const fleet::Return& r : b.wallet->returns()) b.commons->give_back(local, *b.agent, r);
+        for (const auto& q : b.wallet->questions(local))
+          b.shared_state->ask(local, *b.agent, q.ask, q.to_peer);
+        for (const fleet::Return& r : b.wallet->returns()) b.shared_state->give_back(local, *b.agent, r);
       }
       if (now_ >= b.next_count) {
         b.next_count = now_ + core::kSecond;
-        b.commons->counted(local, b.counts);
+        b.shared_state->counted(local, b.counts);
         if (world_.intervals) interval_holds(i);
       }
-      if (local >= b.commons->next()) b.commons->tick(local, *b.agent);
+      if (local >= b.shared_state->next()) b.shared_state->tick(local, *b.agent);
       flush(i);
     }
   }
@@ -389,7 +390,7 @@
 
   std::pair<std::uint64_t, std::uint64_t> served_as_seen_by(const Box& b) const {
     std::uint64_t least = 0, most = 0;
-    for (const auto& [key, total] : b.commons->ledger().totals(b.local(now_))) {
+    for (const auto& [key, total] : b.shared_state->ledger().totals(b.local(now_))) {
       least += total.count.served();
       most += total.most_served;
     }
@@ -399,7 +400,7 @@
   void interval_holds(std::size_t i) {
     const auto [least, most] = served_as_seen_by(boxes_[i]);
     std::set<std::string> heard;
-    for (const auto& [life, row] : boxes_[i].commons->ledger().rows().all()) heard.insert(life.first);
+    for (const auto& [life, row] : boxes_[i].shared_state->ledger().rows().all()) heard.insert(life.first);
     if (least > truth_ || (heard.size() == boxes_.size() && most < truth_))
       broken(name(i) + " has counts from " + std::to_string(least) + " to " + std::to_string(most) + " of " +
              std::to_string(truth_));
@@ -410,13 +411,13 @@
   void equal_at_the_end() {
     std::set<std::uint64_t> all;
     for (std::size_t i = 0; i < boxes_.size(); ++i) {
-      boxes_[i].commons->counted(boxes_[i].local(now_), boxes_[i].counts);
+      boxes_[i].shared_state->counted(boxes_[i].local(now_), boxes_[i].counts);
     }
     for (const Micros end = now_ + 12 * core::kSecond; now_ < end; now_ += kStep) {
       step();
       for (std::size_t i = 0; i < boxes_.size(); ++i) {
         Box& b = boxes_[i];
-        if (b.local(now_) >= b.commons->next()) b.commons->tick(b.local(now_), *b.agent);
+        if (b.local(now_) >= b.shared_state->next()) b.shared_state->tick(b.local(now_), *b.agent);
         flush(i);
       }
     }
@@ -429,7 +430,7 @@
       text += " " + std::to_string(served_as_seen_by(b).first);
       const fleet::Status s = [&] {
         fleet::Status out;
-        b.commons->status(b.local(now_), *b.agent, out);
+        b.shared_state->status(b.local(now_), *b.agent, out);
         return out;
       }();
       seen_.packets += s.shared().counters().at("sent");
--- a/tests/fleet/sim.h
+++ b/tests/fleet/sim.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "fleet/agent.h"
-#include "shared/commons.h"
+#include "shared/shared_state.h"
 #include "shared/wallet.h"
 
 namespace flintglade::tests {
--- a/tests/fleet_machines_test.cpp
+++ b/tests/fleet_machines_test.cpp
@@ -240,34 +240,34 @@
 
 void a_release_that_is_on_its_way_is_never_taken_back() {
   fleet::LeaseTimes times;
-  fleet::Tenure tenure(times, "a");
+  fleet::LeaseHolder lease_holder(times, "a");
   fleet::Table table;
   fleet::Job* job = table.add_jobs();
   job->set_name("j");
   job->set_owner("a");
   job->set_birth(1);
   job->set_number(5);
-  tenure.record(table, 1);
-  const auto renew = tenure.renewal(0);
+  lease_holder.record(table, 1);
+  const auto renew = lease_holder.renewal(0);
   CHECK(renew && renew->held_size() == 1);
   std::vector<fleet::Held> held(renew->held().begin(), renew->held().end());
-  tenure.renewed(0, held);
-  CHECK(tenure.proved(times.lease - times.margin() - 1, "j") &&
-        !tenure.proved(times.lease - times.margin(), "j"));
+  lease_holder.renewed(0, held);
+  CHECK(lease_holder.proved(times.lease - times.margin() - 1, "j") &&
+        !lease_holder.proved(times.lease - times.margin(), "j"));
   job->set_wanted("b");
-  tenure.record(table, 1);
-  CHECK(tenure.releases(1000).size() == 1 && !tenure.proved(1001, "j"));
+  lease_holder.record(table, 1);
+  CHECK(lease_holder.releases(1000).size() == 1 && !lease_holder.proved(1001, "j"));
   // The operator changes his mind, and an answer of before comes: neither proves it again.
   job->clear_wanted();
-  tenure.record(table, 1);
-  tenure.renewed(900, held);
-  CHECK(!tenure.proved(1001, "j") && !tenure.renewal(10 * core::kSecond));
+  lease_holder.record(table, 1);
+  lease_holder.renewed(900, held);
+  CHECK(!lease_holder.proved(1001, "j") && !lease_holder.renewal(10 * core::kSecond));
   // Under a new number it begins anew. A new life of this router has nothing.
   job->set_number(6);
-  tenure.record(table, 1);
-  CHECK(tenure.renewal(11 * core::kSecond));
-  tenure.record(table, 2);
-  CHECK(!tenure.renewal(12 * core::kSecond));
+  lease_holder.record(table, 1);
+  CHECK(lease_holder.renewal(11 * core::kSecond));
+  lease_holder.record(table, 2);
+  CHECK(!lease_holder.renewal(12 * core::kSecond));
 }
 
 // ---- the list that one reads for all
--- a/tests/fuzz/fleet.cpp
+++ b/tests/fuzz/fleet.cpp
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "fleet/agent.h"
-#include "shared/commons.h"
+#include "shared/shared_state.h"
 #include "shared/wallet.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
@@ -32,13 +32,13 @@
   budget.window = core::kSecond;
   sharing.budgets = {budget};
   shared::Wallet wallet(sharing.budgets, {"t"}, 1000, 0);
-  shared::Commons::Ports ports;
+  shared::SharedState::Ports ports;
   ports.unix_time = [] { return core::Micros{1'700'000'000'000'000}; };
   ports.parcel = [&](const fleet::Parcel& part) { wallet.parcel(1000, part); };
   ports.lend = [&](const std::string& who, const fleet::Ask& ask) { wallet.lend(1000, who, ask); };
   ports.opinions = [](std::vector<shared::Opinion>, std::size_t, std::size_t) {};
-  shared::Commons commons(sharing, ports, set.self, 1);
-  commons.restore(0, bytes);
+  shared::SharedState shared_state(sharing, ports, set.self, 1);
+  shared_state.restore(0, bytes);
   fleet::Agent agent(set, 1);
   agent.start(0);
   fleet::Packet p;
@@ -52,9 +52,9 @@
     agent.take();
     wallet.spend(now, 0, 0);
     wallet.questions(now);
-    for (const auto& w : agent.words()) commons.receive(now, agent, w);
-    commons.tick(now + 500'000, agent);
-    if (wallet.held(now, 0) > budget.whole || commons.ledger().rows().all().size() > 8) std::abort();
+    for (const auto& w : agent.words()) shared_state.receive(now, agent, w);
+    shared_state.tick(now + 500'000, agent);
+    if (wallet.held(now, 0) > budget.whole || shared_state.ledger().rows().all().size() > 8) std::abort();
     agent.events();
   }
   if (agent.peers().others().size() > 16) std::abort();
--- a/tests/shared_machines_test.cpp
+++ b/tests/shared_machines_test.cpp
@@ -341,7 +341,10 @@
 
 int main(int argc, char** argv) {
   const std::string runs = argc > 1 ? argv[1] : "20", seed = argc > 2 ? argv[2] : "7";
-  ::setenv("RC_PARAMS", ("seed=" + seed + " max_success=" + runs).c_str(), 1);
+  // A third word goes to RapidCheck as it is: noshrink=1 prints the first failing case and searches no
+  // smaller one.
+  const std::string more = argc > 3 ? " " + std::string(argv[3]) : "";
+  ::setenv("RC_PARAMS", ("seed=" + seed + " max_success=" + runs + more).c_str(), 1);
   a_new_life_takes_in_the_one_before();
   a_witness_tells_of_rows_of_failures();
   a_part_is_spent_once_and_in_time();
