--- a/src/handover/state.cpp
+++ b/src/handover/state.cpp
@@ -165,7 +165,8 @@
     all(io, from, cost);
     l.live_top[from.id()] = from.live_top();
     io.sound = io.sound && from.live_top() >= 0.0 && from.live_top() < 1e15 && cost.per_token >= 0.0 &&
-               cost.samples >= 0.0 && cost.samples <= policy::ReadCost::kMostSamples;
+               cost.samples >= 0.0 && cost.samples <= policy::ReadCost::kMostSamples &&
+               (cost.samples == 0.0 || cost.per_token > 0.0);  // its logarithm is taken
   }
   for (State::Zone& from : *m.mutable_zones()) all(io, from, l.zones[from.id()]);
   for (State::Prefix& from : *m.mutable_prefixes()) {
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -296,7 +296,6 @@
   // must not steer ordinary picks; the largest of its kind seen so far comes near the true size. A rough one,
   // or none, is evened out over its kind and corrected by how quickly that kind reads.
   void size_replicas() {
-    const bool by_kind = set_.weights == WeightSource::silent || set_.weights == WeightSource::rough;
     std::map<std::uint32_t, Kind> kinds;
     for (const Replica& r : replicas_) {
       if (!r.ready()) continue;
@@ -304,7 +303,7 @@
       kinds[r.worker.kind].size += set_.weights == WeightSource::silent ? 1.0 : r.worker.size;
       kinds[r.worker.kind].count += 1.0;
     }
-    compare_speeds(kinds);
+    if (by_kind()) compare_speeds(kinds);
     sized_ = now_;
     sizes_.resize(replicas_.size(), 1.0);
     largest_ = 0.0;
@@ -313,13 +312,14 @@
       if (!replicas_[i].ready()) continue;
       const Kind& kind = kinds[w.kind];
       const double told = set_.weights == WeightSource::live ? past_.live_top[w.kind] : w.size;
-      sizes_[i] = by_kind ? kind.size / kind.count * kind.speed : told;
+      sizes_[i] = by_kind() ? kind.size / kind.count * kind.speed : told;
       largest_ = std::max(largest_, sizes_[i]);
     }
     const bool muted = set_.weights == WeightSource::rough || set_.weights == WeightSource::live;
     pulls_ = sizes_;
     for (double& pull : pulls_) pull = std::pow(pull / largest_, muted ? kMutedPower : 1.0);
   }
+  bool by_kind() const { return set_.weights == WeightSource::silent || set_.weights == WeightSource::rough; }
   struct Kind {
     double size = 0.0, count = 0.0, speed = 1.0;  // speed: for its size, as a multiple of the fleet's
   };
@@ -369,7 +369,7 @@
   void refresh() {
     if (!stale_ && now_ - refreshed_ < 0.1) return;
     stale_ = false;
-    if (now_ - sized_ > 1.0) size_replicas();
+    if (by_kind() && now_ - sized_ > 1.0) size_replicas();
     const double since = std::min(now_ - refreshed_, 1e6);
     refreshed_ = now_;
     for (auto& [kind, stay] : past_.kinds) stay.step(now_, memory_);
