A client's own headers pass on to its replica: an idempotency key is the replica's, not ours

What is not hop by hop (RFC 9110, 7.6.1), framing or said to the router passes on as it is; it counts in the budget of memory.

--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -307,7 +307,7 @@
   // on the spot, rather than the process be killed with all it holds. So is one that comes on a connection
   // kept for long into a drain: it could be open still when the process is killed, and would be lost.
   const bool too_late = !takes();
-  if (too_late || body_bytes_ + e.request->body.size() > set_.body_budget) {
+  if (too_late || body_bytes_ + e.request->bytes() > set_.body_budget) {
     ++(too_late ? counters_.unavailable : counters_.overloaded);
     return refuse_unseen(e, kSecond);
   }
@@ -322,7 +322,7 @@
   rpc.channel = std::move(e.channel);
   rpc.came = now_;
   rpc.deadline = now_ + rpc.request->patience;
-  body_bytes_ += rpc.request->body.size();
+  body_bytes_ += rpc.request->bytes();
   ++open_;
   wake(rpc.deadline + set_.answer_grace, Overdue{e.id});
   if (phase_ == Phase::draining) wake(drain_from_ + set_.drain_limit, Overdue{e.id});
@@ -582,7 +582,7 @@
     if (it == rpcs_.end()) continue;
     const Rpc& rpc = it->second;
     if (std::any_of(rpc.calls.begin(), rpc.calls.end(), [](const Call& c) { return c.out; })) continue;
-    body_bytes_ -= rpc.request->body.size();
+    body_bytes_ -= rpc.request->bytes();
     rpcs_.erase(it);
   }
 }
@@ -609,7 +609,7 @@
   if (!rpc.request->body.empty()) {
     const auto bare = std::make_shared<RpcRequest>();
     bare->wire = rpc.request->wire;
-    body_bytes_ -= rpc.request->body.size();
+    body_bytes_ -= rpc.request->bytes();
     rpc.request = bare;
   }
   wake(now_ + (phase_ == Phase::draining ? 0 : set_.cancel_hold), HoldEnd{id});
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -53,6 +53,12 @@
   std::string target;
   std::string body;
   std::vector<std::pair<std::string, std::string>> metadata;  // of the client's, for the replica; opaque too
+  // What it takes of the budget of memory.
+  std::size_t bytes() const {
+    std::size_t sum = body.size();
+    for (const auto& [name, value] : metadata) sum += name.size() + value.size();
+    return sum;
+  }
 };
 
 // How an RPC that was not served and not refused ended.
--- a/src/http/subchannels.cpp
+++ b/src/http/subchannels.cpp
@@ -125,8 +125,10 @@
     head_ = rpc_->method + " " + rpc_->target +
             " HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: " + rpc_->trace_id +
             "\r\nX-Expires-In-Ms: " + std::to_string(left) +
-            "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(rpc_->body.size()) +
-            "\r\n\r\n";
+            "\r\nContent-Length: " + std::to_string(rpc_->body.size()) + "\r\n";
+    for (const auto& [name, value] : rpc_->metadata)
+      head_.append(name).append(": ").append(value).append("\r\n");
+    head_ += "\r\n";
     const std::array<asio::const_buffer, 2> parts = {asio::buffer(head_), asio::buffer(rpc_->body)};
     asio::async_write(socket_, parts, [self = shared_from_this(), rpc = rpc_](error_code ec, std::size_t) {
       if (self->owner_ == nullptr) return;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -416,6 +416,42 @@
   CHECK(peer.read_some(boost::asio::buffer(&byte, 1), ec) == 0 && ec);
 }
 
+// ---- what passes on -------------------------------------------------------------------------------------
+
+// What the client says to its replica goes through as it is: an idempotency key, which marks a repeat as one.
+// What is said to the router, or belongs to the connection, does not.
+void a_clients_own_headers_pass_on() {
+  Router r;
+  http::HttpSubchannels subchannels(r.io, *r.core.broker, r.core.ports, some_room());
+  r.core.broker->attach(core::Wire::http, subchannels);
+  tcp::acceptor replica(r.io, {boost::asio::ip::address_v4::loopback(), 0});
+  core::Endpoint at;
+  at.address = "127.0.0.1:" + std::to_string(replica.local_endpoint().port());
+  at.replica.id = 1;
+  subchannels.update(at, core::kNever);
+  std::string asked = request("1");
+  asked.insert(
+      asked.find("\r\n") + 2,
+      "Idempotency-Key: \"a 1\"\r\ncontent-type: application/json\r\nX-Own: b\r\nConnection: x-own\r\n"
+      "Keep-Alive: 5\r\nTE: trailers\r\nx-qos-more: c\r\n");
+  r.write(asked);
+  tcp::socket peer(r.io);
+  replica.accept(peer);
+  r.step();
+  std::string got;
+  CHECK(r.until([&] {
+    char bytes[4096];
+    if (peer.available() > 0) got.append(bytes, peer.read_some(boost::asio::buffer(bytes)));
+    return got.ends_with("\r\n\r\n{}");
+  }));
+  for (const char* line : {"Idempotency-Key: \"a 1\"", "content-type: application/json", "x-qos-more: c",
+                           "X-Trace-Id: 1", "Content-Length: 2"})
+    CHECK(count(got, std::string("\r\n") + line + "\r\n") == 1);
+  for (const char* name : {"X-Own", "Connection", "Keep-Alive", "TE:", "X-Qos:"})
+    CHECK(count(got, name) == 0);
+  CHECK(count(got, "Host:") == 1);
+}
+
 }  // namespace
 
 int main() {
@@ -435,7 +471,8 @@
                                          a_client_that_sends_much_and_goes_is_noticed,
                                          a_client_that_stops_in_a_later_request_is_told,
                                          a_client_that_leaves_while_a_connection_comes_up,
-                                         a_replica_that_drains_while_a_connection_comes_up};
+                                         a_replica_that_drains_while_a_connection_comes_up,
+                                         a_clients_own_headers_pass_on};
   for (const auto& test : tests) test();
   std::printf("%zu passed, 0 failed\n", std::size(tests));
 }
