Failing system calls: accept goes on behind ECONNABORTED, short writes no longer stall an answer

Forced by a library of the tests that lets chosen calls of the program fail and steps its wall clock (tests/faults, loaded by LD_PRELOAD; the scenario steps 'faults', 'hit', 'wall').

- accept that gives ECONNABORTED: Asio swallows it and waits for the next edge, and the connections behind it in the queue wait for somebody else to come.
Seen: accept_fails stood at its first client for good.
- a short write: Asio's async_write takes it for a full buffer and waits for an edge that never comes where it was not full.
Seen: short_calls, an answer 'still open' after 4 s. net::write_all writes until the connection takes no more and then asks anew.
- read and write errors ETIMEDOUT and EHOSTUNREACH, EINTR of the wait, short reads: held as they were.

--- a/src/admin/server.cpp
+++ b/src/admin/server.cpp
@@ -4,10 +4,12 @@
 #include <boost/beast/core/flat_static_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <sstream>
 #include <utility>
 
 #include "http/listener.h"
 #include "http/request.h"
+#include "net/write_all.h"
 
 namespace flintglade::admin {
 
@@ -75,8 +77,10 @@
     } else {
       fill(beast_http::status::ok, owner_->calls_.vars());
     }
-    beast_http::async_write(socket_, answer_,
-                            [self = shared_from_this()](error_code, std::size_t) { self->end(); });
+    std::ostringstream text;
+    text << answer_;
+    text_ = text.str();
+    net::write_all(socket_, {asio::buffer(text_)}, [self = shared_from_this()](error_code) { self->end(); });
   }
   void fill(beast_http::status status, std::string body) {
     answer_.result(status);
@@ -90,6 +94,7 @@
   boost::beast::flat_static_buffer<kLargestCall> buffer_;
   beast_http::request_parser<beast_http::empty_body> parser_;
   beast_http::response<beast_http::string_body> answer_;
+  std::string text_;
   bool answering_ = false;
 };
 
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -8,6 +8,7 @@
 
 #include "discovery/documents.h"
 #include "log/log.h"
+#include "net/write_all.h"
 
 namespace flintglade::discovery {
 
@@ -33,7 +34,8 @@
     expect_within(owner_->silence_.first);
     socket_.async_connect({address, owner_->at_.port}, [self = shared_from_this()](error_code failed) {
       if (failed) return self->fail("cannot connect: " + failed.message());
-      asio::async_write(self->socket_, asio::buffer(self->request_), [self](error_code wrong, std::size_t) {
+      if (self->owner_ == nullptr) return;
+      net::write_all(self->socket_, {asio::buffer(self->request_)}, [self](error_code wrong) {
         wrong ? self->fail("cannot ask: " + wrong.message()) : self->read();
       });
     });
--- a/src/dns/client.cpp
+++ b/src/dns/client.cpp
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <utility>
 
+#include "net/write_all.h"
+
 namespace flintglade::dns {
 
 namespace asio = boost::asio;
@@ -50,7 +52,7 @@
     if (ec) return fail("its address cannot be used");
     tcp_.async_connect({address, server.port}, [self = shared_from_this()](error_code failed) {
       if (failed) return self->fail("cannot connect: " + failed.message());
-      asio::async_write(self->tcp_, asio::buffer(self->message_), [self](error_code wrong, std::size_t) {
+      net::write_all(self->tcp_, {asio::buffer(self->message_)}, [self](error_code wrong) {
         wrong ? self->fail("cannot ask: " + wrong.message()) : self->read();
       });
     });
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -16,9 +16,10 @@
 #include <optional>
 #include <utility>
 
-#include "http/errors.h"
 #include "http/listener.h"
 #include "http/request.h"
+#include "net/errors.h"
+#include "net/write_all.h"
 
 namespace flintglade::http {
 
@@ -381,8 +382,8 @@
     since_ = owner_->clock_.now();
     sending_ = std::exchange(out_, {});
     owner_->sweeper_.by(due());
-    asio::async_write(socket_, asio::buffer(sending_),
-                      [self = shared_from_this()](error_code ec, std::size_t) { self->wrote(ec); });
+    net::write_all(socket_, {asio::buffer(sending_)},
+                   [self = shared_from_this()](error_code ec) { self->wrote(ec); });
   }
 
   void wrote(error_code ec) {
@@ -502,7 +503,7 @@
     if (ec == asio::error::operation_aborted) return;
     if (ec) {
       // EMFILE and its like: accepting again at once would spin. Give a descriptor back and wait a little.
-      if (shed_ && lacks_descriptors(ec)) shed_();
+      if (shed_ && net::lacks_descriptors(ec)) shed_();
       return accept_later();
     }
     const auto connection = std::make_shared<Connection>(*this, std::move(socket));
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -9,6 +9,17 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+namespace {
+
+// A connection that ended in the queue is told, and accepting goes on. Otherwise Asio waits for the next one
+// to come, and those that stand in the queue already wait with it.
+void tell_aborted(tcp::acceptor& acceptor) {
+  error_code ignored;
+  acceptor.set_option(boost::asio::socket_base::enable_connection_aborted(true), ignored);
+}
+
+}  // namespace
+
 std::string listen(tcp::acceptor& acceptor, const config::HostPort& at) {
   error_code ec;
   const auto ip = boost::asio::ip::make_address(at.host, ec);
@@ -17,6 +28,7 @@
   if (!ec) acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
   if (!ec) acceptor.bind(endpoint, ec);
   if (!ec) acceptor.listen(tcp::acceptor::max_listen_connections, ec);
+  tell_aborted(acceptor);
   if (ec) return "cannot listen on " + config::host_port(at.host, at.port) + ": " + ec.message();
   return "";
 }
@@ -47,6 +59,7 @@
   ::fcntl(descriptor, F_SETFD, FD_CLOEXEC);
   error_code ec;
   acceptor.assign(protocol_of(descriptor), descriptor, ec);
+  tell_aborted(acceptor);
   return ec ? name + " cannot be used: " + ec.message() : "";
 }
 
--- a/src/http/subchannels.cpp
+++ b/src/http/subchannels.cpp
@@ -13,9 +13,10 @@
 #include <optional>
 
 #include "config/config.h"
-#include "http/errors.h"
 #include "http/listener.h"
 #include "http/sse.h"
+#include "net/errors.h"
+#include "net/write_all.h"
 
 namespace flintglade::http {
 
@@ -104,9 +105,9 @@
   void not_connected(error_code why) {
     error_code ignored;
     socket_.close(ignored);
-    if (lacks_descriptors(why) && owner_->shed_idle()) return connect();
+    if (net::lacks_descriptors(why) && owner_->shed_idle()) return connect();
     const Micros again = owner_->clock_.now() + kDialAgain;
-    if (!lacks_here(why) || again >= dial_until_) return end(Outcome::connect_failed);
+    if (!net::lacks_here(why) || again >= dial_until_) return end(Outcome::connect_failed);
     dial_again_.expires_after(std::chrono::microseconds(kDialAgain));
     dial_again_.async_wait([self = shared_from_this()](error_code cancelled) {
       if (!cancelled && self->owner_ != nullptr) self->connect();
@@ -129,13 +130,14 @@
     for (const auto& [name, value] : rpc_->metadata)
       head_.append(name).append(": ").append(value).append("\r\n");
     head_ += "\r\n";
-    const std::array<asio::const_buffer, 2> parts = {asio::buffer(head_), asio::buffer(rpc_->body)};
-    asio::async_write(socket_, parts, [self = shared_from_this(), rpc = rpc_](error_code ec, std::size_t) {
-      if (self->owner_ == nullptr) return;
-      if (ec) return self->end(Outcome::connect_failed);  // broke before the last byte: never ran
-      self->written_ = true;
-      self->owner_->broker_.call_written();
-    });
+    net::write_all(socket_, {asio::buffer(head_), asio::buffer(rpc_->body)},
+                   [self = shared_from_this(), rpc = rpc_](error_code ec) {
+                     if (self->owner_ == nullptr) return;
+                     if (ec)
+                       return self->end(Outcome::connect_failed);  // broke before the last byte: never ran
+                     self->written_ = true;
+                     self->owner_->broker_.call_written();
+                   });
   }
 
   void read() {
--- a/src/kserve/connections.cpp
+++ b/src/kserve/connections.cpp
@@ -35,6 +35,8 @@
   if (!ec) acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
   if (!ec) acceptor_.bind(endpoint, ec);
   if (!ec) acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+  // Else those that stand in the queue behind one that ended there would wait for the next one to come.
+  if (!ec) acceptor_.set_option(asio::socket_base::enable_connection_aborted(true), ec);
   if (ec) return failed + ec.message();
   port = acceptor_.local_endpoint().port();
   accept();
--- a/src/http/errors.h
+++ b/src/net/errors.h
@@ -4,7 +4,7 @@
 #include <boost/asio/error.hpp>
 #include <boost/system/error_code.hpp>
 
-namespace flintglade::http {
+namespace flintglade::net {
 
 inline bool lacks_descriptors(boost::system::error_code why) {
   return why == boost::asio::error::no_descriptors ||
@@ -18,4 +18,4 @@
          why == boost::asio::error::network_unreachable;
 }
 
-}  // namespace flintglade::http
+}  // namespace flintglade::net
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -16,6 +16,7 @@
 
 #include "certs.h"
 #include "dns_server.h"
+#include "faults/faults.h"
 #include "fleet/process.h"
 #include "pcap/reader.h"
 #include "pcap/writer.h"
@@ -50,7 +51,8 @@
 class Program {
  public:
   Program(const std::string& path, unsigned short discovery, Protocol protocol, const std::string& sockets,
-          const std::string& membership, const std::string& kserve, bool admin = false, int replayed = 0)
+          const std::string& membership, const std::string& kserve, bool admin = false, int replayed = 0,
+          const std::map<std::string, std::string>& environment = {})
       : kserve_(protocol == Protocol::kserve), admin_(admin), more_(kserve), path_(path) {
     char name[] = "/tmp/flintglade-test-XXXXXX";
     if (mkdtemp(name) == nullptr) wrong("no folder for the configuration");
@@ -62,6 +64,7 @@
     Start start{path, {}, {}, -1};
     start.environment = {{"GW_CONFIG", folder_ + "/config.json"},
                          {"GW_DISCOVERY", "127.0.0.1:" + std::to_string(discovery)}};
+    start.environment.insert(environment.begin(), environment.end());
     if (replayed > 0) {
       start.arguments = {"serve", "--replay", savefile(), "--record", record()};
     } else if (kserve_ || !membership.empty()) {
@@ -217,6 +220,18 @@
       const std::string got = http_call(operators_, a, b);
       return got.rfind(c + " ", 0) == 0 ? void() : wrong("it was " + got);
     }
+    if (verb == "wall") return faults().wall_clock(std::stod(a));
+    if (verb == "faults") {
+      std::string error, peer;
+      int n = 0;
+      in >> n >> error >> peer;
+      return faults().set(a, n, error, peer.empty() ? 0 : replica(peer).port());
+    }
+    if (verb == "hit") {
+      int n = 0;
+      in >> n;
+      return until("the fault", [&] { return faults().hits(a) >= n; });
+    }
     if (verb == "start") return start(a.empty() ? "1024" : a);
     if (verb == "start_fails") {
       Program program(path_, discovery_.port(), protocol_, "1024", membership(), kserve());
@@ -565,8 +580,9 @@
     discovery_.change(entries);
   }
   void start(const std::string& sockets) {
-    program_ = std::make_unique<Program>(path_, discovery_.port(), protocol_, sockets, membership(), kserve(),
-                                         admin_);
+    program_ = std::make_unique<Program>(
+        path_, discovery_.port(), protocol_, sockets, membership(), kserve(), admin_, 0,
+        faults_ ? faults_->environment() : std::map<std::string, std::string>{});
     const bool kserve = protocol_ == Protocol::kserve;
     until("the port", [&] {
       front_ = program().port("wire=http at=127.0.0.1:");
@@ -576,6 +592,10 @@
     });
     until("readiness", [&] { return http_status(front_, "/ready") == 200; });
   }
+  Faults& faults() {
+    if (!faults_) faults_ = std::make_unique<Faults>();
+    return *faults_;
+  }
   void replay(int requests) {
     program_ =
         std::make_unique<Program>(path_, discovery_.port(), protocol_, "1024", "", "", false, requests);
@@ -648,6 +668,7 @@
   std::string path_;
   Discovery discovery_;
   std::unique_ptr<DnsServer> dns_;
+  std::unique_ptr<Faults> faults_;  // outlives the program that has it mapped
   std::vector<std::string> zones_, sources_;
   std::string rule_, resolver_, kserve_, operator_, certs_;
   int spread_ = 0;
