--- /dev/null
+++ b/src/policy/replica.h
@@ -0,0 +1,14 @@
+// A replica as the decision module sees it: what the list says, and what this router has learned.
+#pragma once
+
+#include "flintglade/policy/balancer.h"
+#include "learned.h"
+
+namespace flintglade::policy {
+
+struct Replica : Known {
+  Worker worker;
+  bool ready() const { return worker.health == Health::ready; }
+};
+
+}  // namespace flintglade::policy
--- /dev/null
+++ b/src/policy/retry_rules.h
@@ -0,0 +1,14 @@
+// Retries: what the effect of a request's class allows once attempts were made. Budgets and timing are not
+// decided here.
+#pragma once
+
+#include "policy/request.h"
+
+namespace flintglade::policy {
+
+// Whether a further attempt may be sent now.
+bool may_send(const Request& request, const ClassSettings& its_class, const Settings& settings, double now);
+// Whether it may be rejected with the promise that trying again is harmless.
+bool may_reject(const Request& request, const ClassSettings& its_class);
+
+}  // namespace flintglade::policy
