BootClock: a list that was known at the start, or one that is told late, proves nothing of the wall clock

Found rereading the change: Watch::known let BootClock take the list of the configuration for fresh, so a replica that had restarted between that list and the router's start looked like a proof that the clock was ahead, and later starts were moved (to colder). Lists may also fall further behind than 10 s: 30 s now. Test: an_old_list_proves_nothing_of_the_clock (fails with the old lines).

--- a/src/discovery/boot_clock.cpp
+++ b/src/discovery/boot_clock.cpp
@@ -7,13 +7,17 @@
 using core::Micros;
 
 void BootClock::put_right(Micros now, core::ListNews& news) {
+  known(now, news);
+  heard_ = now;
+}
+
+void BootClock::known(Micros now, core::ListNews& news) {
   if (starts_.size() > 4 * kMostEntries) starts_.clear();  // ids that come and go for months
   for (core::Endpoint& entry : news.entries) {
     if (entry.replica.born <= 0.0) continue;  // long ago
     const auto unix_time = static_cast<Micros>(entry.replica.born * 1e6);
     entry.replica.born = static_cast<double>(monotonic(now, entry.replica.id, unix_time)) / 1e6;
   }
-  heard_ = now;
 }
 
 Micros BootClock::monotonic(Micros now, core::ReplicaId id, Micros unix_time) {
--- a/src/discovery/boot_clock.h
+++ b/src/discovery/boot_clock.h
@@ -17,8 +17,8 @@
 
 class BootClock {
  public:
-  // No list is older than this.
-  static constexpr core::Micros kListLag = 10 * core::kSecond;
+  // No list is older than this, however far discovery has fallen behind.
+  static constexpr core::Micros kListLag = 30 * core::kSecond;
 
   // unix_to_monotonic: added to Unix time it gives the monotonic clock's, as the wall clock has it at the
   // start.
@@ -27,6 +27,8 @@
   // A list has come: the start times of its entries, seconds of Unix time, become those of the monotonic
   // clock.
   void put_right(core::Micros now, core::ListNews& news);
+  // The list that the router knew at its start, which may be of any age: it proves nothing of later starts.
+  void known(core::Micros now, core::ListNews& news);
   // Word from discovery that brought no list: what is held is as new as that.
   void heard(core::Micros now) { heard_ = now; }
 
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -163,7 +163,7 @@
 void Watch::known(const std::string& json) {
   core::ListNews news;
   if (!json.empty() && parse_list(json, names_, news)) {
-    boots_.put_right(clock_.now(), news);
+    boots_.known(clock_.now(), news);
     version_ = news.version;
     have_list_ = true;
   }
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -143,6 +143,22 @@
   }
 }
 
+// A router comes up with a list from a minute ago, and a replica has started anew meanwhile, before the
+// router did: that is no sign that the clock is wrong.
+void an_old_list_proves_nothing_of_the_clock() {
+  constexpr Micros kNow = 100 * core::kSecond, kUnix = 1'700'000'000 * core::kSecond;
+  discovery::BootClock clock(-kUnix);
+  core::ListNews old;
+  old.entries.resize(1);
+  old.entries[0].replica.id = 1;
+  old.entries[0].replica.born = static_cast<double>(kUnix + 10 * core::kSecond) / 1e6;
+  clock.known(kNow, old);
+  CHECK(born(clock, kNow + core::kSecond, 1, kUnix + 50 * core::kSecond) == 50 * core::kSecond);
+  // Nor is a start that discovery tells late, as far as it may fall behind.
+  clock.heard(kNow + 20 * core::kSecond);
+  CHECK(born(clock, kNow + 21 * core::kSecond, 1, kUnix + kNow) == kNow);
+}
+
 // Lists on a watch, as discovery writes them: an indented one is a list, and a span that has been set anew in
 // the iteration in which it ended is no silence.
 struct Discovery {
@@ -461,6 +477,7 @@
                                          lists_are_told_apart_whatever_their_pieces,
                                          torn_lists_are_noticed,
                                          starts_are_known_though_the_wall_clock_is_stepped,
+                                         an_old_list_proves_nothing_of_the_clock,
                                          an_indented_list_is_a_list,
                                          a_span_of_silence_that_was_set_anew_has_not_ended,
                                          a_list_that_does_not_end_is_no_sign_of_life,
