--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -389,47 +389,43 @@
   return out;
 }
 
-// The client leaves while the connection for its attempt comes up: not a byte is written.
-void a_client_that_leaves_while_a_connection_comes_up() {
-  Core c;
-  boost::asio::io_context io(1);
-  http::HttpSubchannels subchannels(io, *c.broker, c.ports, some_room());
-  tcp::acceptor replica(io, {boost::asio::ip::address_v4::loopback(), 0});
+// A replica's listener, and a call to it whose connection the kernel has made: our loop has not looked yet.
+struct Dialled {
+  Core core;
+  boost::asio::io_context io{1};
+  http::HttpSubchannels subchannels{io, *core.broker, core.ports, some_room()};
+  tcp::acceptor listener{io, {boost::asio::ip::address_v4::loopback(), 0}};
+  tcp::socket peer{io};
   core::Endpoint at;
-  at.address = "127.0.0.1:" + std::to_string(replica.local_endpoint().port());
-  at.replica.id = 5;
-  subchannels.update(at, core::kNever);
-  subchannels.call({1, 0}, 5, std::make_shared<core::RpcRequest>(), core::kSecond);
-  // The kernel has made the connection; our loop has not looked yet, and the client goes first.
-  tcp::socket peer(io);
-  replica.accept(peer);
-  subchannels.cancel({1, 0});
-  io.poll();
-  boost::system::error_code ec;
-  char byte = 0;
-  CHECK(peer.read_some(boost::asio::buffer(&byte, 1), ec) == 0 && ec);
+  Dialled() {
+    at.address = "127.0.0.1:" + std::to_string(listener.local_endpoint().port());
+    at.replica.id = 5;
+    subchannels.update(at, core::kNever);
+    auto rpc = std::make_shared<core::RpcRequest>();
+    rpc->method = "POST";
+    subchannels.call({1, 0}, 5, rpc, core::kSecond);
+    listener.accept(peer);
+  }
+  // The loop looks; the connection ends without a byte.
+  bool nothing_is_written() {
+    io.poll();
+    boost::system::error_code ec;
+    char byte = 0;
+    return peer.read_some(boost::asio::buffer(&byte, 1), ec) == 0 && ec;
+  }
+};
+
+void a_client_that_leaves_while_a_connection_comes_up() {
+  Dialled d;
+  d.subchannels.cancel({1, 0});
+  CHECK(d.nothing_is_written());
 }
 
-// Its replica drains, its grace is over, while the connection comes up.
+// Its replica drains, and its grace is over, while the connection comes up.
 void a_replica_that_drains_while_a_connection_comes_up() {
-  Core c;
-  boost::asio::io_context io(1);
-  http::HttpSubchannels subchannels(io, *c.broker, c.ports, some_room());
-  tcp::acceptor replica(io, {boost::asio::ip::address_v4::loopback(), 0});
-  core::Endpoint at;
-  at.address = "127.0.0.1:" + std::to_string(replica.local_endpoint().port());
-  at.replica.id = 5;
-  subchannels.update(at, core::kNever);
-  auto rpc = std::make_shared<core::RpcRequest>();
-  rpc->method = "POST";
-  subchannels.call({1, 0}, 5, rpc, core::kSecond);
-  tcp::socket peer(io);
-  replica.accept(peer);
-  subchannels.update(at, c.ports.time);
-  io.poll();
-  boost::system::error_code ec;
-  char byte = 0;
-  CHECK(peer.read_some(boost::asio::buffer(&byte, 1), ec) == 0 && ec);
+  Dialled d;
+  d.subchannels.update(d.at, d.core.ports.time);
+  CHECK(d.nothing_is_written());
 }
 
 // ---- what passes on -------------------------------------------------------------------------------------
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -51,9 +51,9 @@
 //   figure NAME VALUE            until /_vars has this line
 //   call METHOD PATH STATUS      what operators get
 //   callers N [BYTES]            operators' callers that send just these and stay
-//   faults CALL N ERROR [NAME]   the next N calls of this kind fail (NAME: those on connections to this replica);
-//                                tests/faults/control.h has the kinds, 'short' is one byte; before the start too,
-//                                or a scenario that has them later says 'wall 0' there
+//   faults CALL N ERROR [NAME]   the next N calls of this kind fail; NAME: those to this replica.
+//                                Kinds: tests/faults/control.h; 'short': one byte. 'wall 0' stands before the
+//                                start where they come after it only
 //   hit CALL N                   until so many have failed
 //   wall SECONDS                 the program's wall clock is off by so much from now on
 //   stop                         SIGTERM, and a clean exit
