Simulated fleet: a voter started again after a halt begins with nothing seen

The check 'a router takes no older number' keeps the highest number that each process has taken. It forgets it at a crash ('a process begins with nothing seen'), and did not where a halted voter is started again, so it would report a number that is allowed: a new process knows no earlier fencing tokens.

The check stays for all else.

--- a/tests/fleet/sim.cpp
+++ b/tests/fleet/sim.cpp
@@ -261,6 +261,7 @@
         boxes_[i].shared_state.reset();
         boxes_[i].agent.reset();
         boxes_[i].down_until = now_;
+        boxes_[i].taken.clear();  // a process begins with nothing seen, as after a crash
       }
       if (!up(i) && now_ >= boxes_[i].down_until) start(i);
     }
