Whoever sends a packet is known or asked for its state: a router stayed forgotten

Callers saw: a router that was cut off while the others were started again rejected what its fleet had budget for, for up to 22 s after the cut: it got no quota lease, no counts and no jobs.

Cause: Swim::receive answered its probes without learning it. A ping carries its sender's state only while that is in the gossip buffer, and the exchange of full lists, 15 s in the mean with one partner, was the only way in.

Mend: an unknown sender, or one known under an earlier birth, is asked for its state (Sync.introduce, field 2; older programs answer with their list), and one that is asked tells all members that it knows. It holds since any packet that gets through, of membership or of coordination, starts it; requests are bounded by names and tries, introductions by a series in ten periods.

--- a/src/coordination/coordination_protocol.cpp
+++ b/src/coordination/coordination_protocol.cpp
@@ -395,6 +395,7 @@
     return run_steps(now);
   }
   if (is_displaced_) return;
+  swim_.note_sender(now, sender_address, packet);
   on_packet(now, sender_address, packet);
   run_steps(now);
 }
--- a/src/coordination/coordination_status.cpp
+++ b/src/coordination/coordination_status.cpp
@@ -24,6 +24,9 @@
   counters["peers_not_for_us"] = from.not_for_us;
   counters["peers_absurd"] = from.absurd;
   counters["peers_too_many"] = from.too_many;
+  counters["peers_unknown_senders"] = from.unknown_senders;
+  counters["peers_introductions_requested"] = from.introductions_requested;
+  counters["peers_introductions"] = from.introductions;
   counters["peers_probes"] = from.probes;
   counters["peers_probes_failed"] = from.probes_failed;
   counters["peers_suspected"] = from.suspected;
--- a/src/membership/swim.cpp
+++ b/src/membership/swim.cpp
@@ -18,6 +18,11 @@
 // A member's update has three names and an address at most, each of kMaxNameBytes.
 constexpr std::size_t kMaxUpdateBytes = kMaxNameBytes * 4;
 constexpr int kRivalPeriods = 3;  // for a rival's answer
+// A flood of forged names gets no more than that: so many names at a time, and so many requests each.
+constexpr std::size_t kMaxIntroductionRequests = 64;
+constexpr int kIntroductionRequestTries = 5;
+constexpr int kIntroductions = 4;               // to all members, one each period
+constexpr int kIntroductionSeriesPeriods = 10;  // from the first one on until there may be more
 // Next exchange while a dead member is known: the end of a partition is to be noticed soon.
 constexpr int kExchangePeriodsWithDeadMembers = 2;
 
@@ -66,7 +71,8 @@
   for (const auto& [name, suspicion] : suspicions_) at = std::min(at, suspicion.ends);
   for (const auto& [number, indirect] : indirect_probes_) at = std::min(at, indirect.nack_at);
   if (rival_.birth != 0) at = std::min(at, rival_.ends);
-  return at;
+  for (const auto& [name, request] : introduction_requests_) at = std::min(at, request.next_try);
+  return std::min(at, next_introduction_);
 }
 
 void Swim::tick(Micros now) {
@@ -84,6 +90,8 @@
   if (rival_.birth != 0 && now >= rival_.ends) outlive_silent_rival(now);
   if (now >= next_probe_) start_probe(now);
   if (now >= next_exchange_) exchange_members(now);
+  if (now >= next_introduction_) introduce_to_all(now);
+  repeat_introduction_requests(now);
 }
 
 // A process that was suspended has heard nobody: that nobody answered says nothing about them.
@@ -266,6 +274,7 @@
     return;
   }
   if (!accepts(received)) return;
+  const bool sender_is_unknown = is_unknown(received);
   for (const coordination::MemberState& update : received.words()) apply(now, update);
   if (received.from() == self_.name) return receive_from_own_name(from, received);
   remind_of_its_status(received.from(), received.birth());
@@ -283,7 +292,10 @@
       if (!probe_.name.empty() && received.nack().number() == probe_.number) ++probe_.nacks;
       break;
     case coordination::Packet::kSync:
-      if (received.sync().answer() && now >= next_list_answer_) {
+      if (!received.sync().answer()) introduction_requests_.erase(received.from());
+      if (received.sync().introduce()) {
+        answer_introduction_request(now, from, received.from());
+      } else if (received.sync().answer() && now >= next_list_answer_) {
         next_list_answer_ = now + kMinListAnswerInterval;
         send_all_members(from, received.from(), false);
       }
@@ -291,6 +303,9 @@
     default:  // not of this protocol: the coordination protocol's own
       break;
   }
+  // After the answer, which may hold the list of those whom the sender is to introduce itself to. The state
+  // that came with this packet, if any, is known to nobody else.
+  if (sender_is_unknown) request_introduction(now, from, received.from());
 }
 
 bool Swim::accepts(const coordination::Packet& packet) {
@@ -351,6 +366,76 @@
   }
 }
 
+bool Swim::is_unknown(const coordination::Packet& packet) const {
+  if (packet.birth() == 0 || packet.from().empty() || packet.from() == self_.name) return false;
+  const auto it = peers_.find(packet.from());
+  return it == peers_.end() || it->second.birth < packet.birth();
+}
+
+void Swim::note_sender(Micros now, const std::string& address, const coordination::Packet& packet) {
+  if (left_ || displaced_ || packet.from() == self_.name) return;
+  remind_of_its_status(packet.from(), packet.birth());
+  if (is_unknown(packet)) request_introduction(now, address, packet.from());
+}
+
+// A router that was cut off while the others were started again knows them from their packets, and none of
+// them knows it: its state was spread before their start. Whoever is answered has to be known.
+void Swim::request_introduction(Micros now, const std::string& address, const std::string& name) {
+  ++counters_.unknown_senders;
+  if (!peers_.contains(name) && peers_.size() >= settings_.most_peers) return;
+  const bool pending = introduction_requests_.contains(name);
+  if (pending || introduction_requests_.size() >= kMaxIntroductionRequests) return;
+  introduction_requests_[name] = {address, kIntroductionRequestTries, now};
+  repeat_introduction_requests(now);
+}
+
+void Swim::repeat_introduction_requests(Micros now) {
+  for (auto it = introduction_requests_.begin(); it != introduction_requests_.end();) {
+    IntroductionRequest& pending = it->second;
+    if (now < pending.next_try) {
+      ++it;
+      continue;
+    }
+    if (pending.tries_left-- == 0) {
+      it = introduction_requests_.erase(it);
+      continue;
+    }
+    pending.next_try = now + settings_.timeout;
+    ++counters_.introductions_requested;
+    coordination::Packet request = packet(it->first);
+    request.mutable_sync()->set_answer(true);
+    request.mutable_sync()->set_introduce(true);
+    send(pending.address, std::move(request));
+    ++it;
+  }
+}
+
+// Where one member does not know this one, others may not either: all are told, some times, as packets are
+// lost.
+void Swim::answer_introduction_request(Micros now, const std::string& address, const std::string& name) {
+  ++counters_.introductions;
+  send_own_state(address, name);
+  if (now < next_series_) return;
+  next_series_ = now + kIntroductionSeriesPeriods * settings_.period;
+  introductions_left_ = kIntroductions;
+  spread_own_state();
+  introduce_to_all(now);
+}
+
+void Swim::introduce_to_all(Micros now) {
+  next_introduction_ = --introductions_left_ > 0 ? now + settings_.period : core::kNever;
+  for (const auto& [name, peer] : peers_) {
+    if (is_living(peer.standing)) send_own_state(peer.at, name);
+  }
+}
+
+void Swim::send_own_state(const std::string& address, const std::string& name) {
+  coordination::Packet state = packet(name);
+  state.mutable_sync();
+  *state.add_words() = word_of(self());
+  send(address, std::move(state));
+}
+
 void Swim::apply(Micros now, const coordination::MemberState& update) {
   if (!is_plausible(update)) {
     ++counters_.absurd;
@@ -481,19 +566,13 @@
 void Swim::leave(Micros) {
   if (left_ || displaced_) return;
   left_ = true;
-  const coordination::MemberState own_state = word_of(self());
   std::vector<const Peer*> receivers;
   for (const auto& [name, peer] : peers_) {
     if (is_living(peer.standing)) receivers.push_back(&peer);
   }
   std::shuffle(receivers.begin(), receivers.end(), random_);
   if (receivers.size() > 2 * settings_.helpers) receivers.resize(2 * settings_.helpers);
-  for (const Peer* receiver : receivers) {
-    coordination::Packet farewell = packet(receiver->name);
-    farewell.mutable_sync();
-    *farewell.add_words() = own_state;
-    send(receiver->at, std::move(farewell));
-  }
+  for (const Peer* receiver : receivers) send_own_state(receiver->at, receiver->name);
 }
 
 std::vector<Datagram> Swim::take() { return std::exchange(outgoing_, {}); }
--- a/src/membership/swim.h
+++ b/src/membership/swim.h
@@ -4,10 +4,11 @@
 // No I/O: time and received datagrams are handed in, datagrams to send are taken out with take(). One thread.
 // Times are microseconds of one clock that never runs backwards.
 //
-// Sources: Das, Gupta, Motivala, "SWIM" (2002); Dadgar, Phillips, Currey, "Lifeguard" (2017). Three things
+// Sources: Das, Gupta, Motivala, "SWIM" (2002); Dadgar, Phillips, Currey, "Lifeguard" (2017). Four things
 // differ from them: several processes may run under one name, one after another (Peer::birth); dead members
-// are contacted now and then, so that two halves of a partitioned fleet find each other again; and a process
-// that was suspended blames nobody for the answers that it missed.
+// are contacted now and then, so that two halves of a partitioned fleet find each other again; a process that
+// was suspended blames nobody for the answers that it missed; and a sender that is not known is asked to
+// introduce itself, since SWIM spreads the news of a member once and a fleet may have missed it.
 #pragma once
 
 #include <cstddef>
@@ -56,6 +57,8 @@
 struct Counters {
   std::uint64_t sent = 0, received = 0, bytes_sent = 0;
   std::uint64_t other_fleet = 0, unreadable = 0, not_for_us = 0, absurd = 0, too_many = 0;  // dropped
+  std::uint64_t unknown_senders = 0;  // packets of members that this one does not know
+  std::uint64_t introductions_requested = 0, introductions = 0;
   std::uint64_t probes = 0, probes_failed = 0, suspected = 0, refuted = 0, late_ticks = 0;
 };
 
@@ -65,6 +68,9 @@
 
   void start(Micros now);
   void receive(Micros now, const std::string& from, std::string_view bytes);
+  // A packet of this fleet has come that is not of this protocol: a sender that is not known is asked for its
+  // state.
+  void note_sender(Micros now, const std::string& address, const coordination::Packet& packet);
   // Does all that is due; to be called when next() has come. A late call does not count against other
   // members.
   void tick(Micros now);
@@ -114,6 +120,13 @@
     Micros nack_at = 0;
   };
 
+  // A request to a member that is not known here, repeated until it is answered.
+  struct IntroductionRequest {
+    std::string address;
+    int tries_left = 0;
+    Micros next_try = 0;
+  };
+
   // ---- what tick() does, in order
   void forgive_missed_answers(Micros late);
   void expire_indirect_probes(Micros now);
@@ -135,6 +148,13 @@
   void acknowledge(const std::string& address, const std::string& name, std::uint64_t number,
                    const std::string& about);
   void remind_of_its_status(const std::string& name, std::uint64_t birth);
+  // Whether a packet of this process comes from a member that is not known here, or under an earlier birth.
+  bool is_unknown(const coordination::Packet& packet) const;
+  void request_introduction(Micros now, const std::string& address, const std::string& name);
+  void answer_introduction_request(Micros now, const std::string& address, const std::string& name);
+  void introduce_to_all(Micros now);
+  void repeat_introduction_requests(Micros now);
+  void send_own_state(const std::string& address, const std::string& name);
 
   // ---- updates on members
   void apply(Micros now, const coordination::MemberState& update);
@@ -181,7 +201,11 @@
   Micros next_probe_ = core::kNever;
   Micros next_exchange_ = core::kNever;
   Micros last_tick_ = 0;
-  Micros next_list_answer_ = 0;  // earlier requests for the member list are passed over
+  Micros next_list_answer_ = 0;              // earlier requests for the member list are passed over
+  Micros next_introduction_ = core::kNever;  // to all members
+  int introductions_left_ = 0;               // of this series
+  Micros next_series_ = 0;                   // not before then
+  std::map<std::string, IntroductionRequest> introduction_requests_;  // by the unknown member's name
   bool left_ = false;
   bool displaced_ = false;
   Counters counters_;
