Counts of earlier processes are entries of their own: sums were lost or counted twice

Cause: a process folded its predecessors' rows into one sum with marks. Processes before the first mark were taken for folded, a later version of a folded row could not be added, two processes that had folded the same one were added up, and a fold was told with the next count only.

New counters for folds, rows that were superseded, and messages to unknown routers.

--- a/src/shared/replicated_counter.cpp
+++ b/src/shared/replicated_counter.cpp
@@ -6,7 +6,8 @@
 namespace flintglade::shared {
 namespace {
 
-constexpr std::size_t kMaxEarlier = 16;  // processes of one router that a row says to have folded in
+constexpr std::size_t kMaxEarlier = 16;           // earlier processes of one router that a row has entries of
+constexpr std::size_t kMaxPartBytes = 24u << 10;  // of all entries of a row
 constexpr std::size_t kMaxNameBytes = 64;
 constexpr std::uint64_t kMaxCount = std::uint64_t{1} << 53;
 constexpr Micros kUnsealed =
@@ -14,19 +15,6 @@
 constexpr Micros kResealAfter =
     5 * core::kSecond;  // an unchanged row gets a new version, so that it ages no more
 
-const coordination::VersionMark* fold_mark(const coordination::CounterRow& later, std::uint64_t birth) {
-  for (const coordination::VersionMark& mark : later.folded()) {
-    if (mark.birth() == birth) return &mark;
-  }
-  return nullptr;
-}
-
-// Whether this row of a later process has folded that one in, up to some version. Marks are bounded: those
-// that are missing below the first one were folded in too.
-bool has_folded(const coordination::CounterRow& later, std::uint64_t birth) {
-  return fold_mark(later, birth) != nullptr || (later.folded_size() > 0 && birth < later.folded(0).birth());
-}
-
 bool same_counts(const coordination::RequestCounts& a, const coordination::RequestCounts& b) {
   return a.served() == b.served() && a.refused() == b.refused() && a.failed() == b.failed() &&
          a.tokens() == b.tokens() && a.worth() == b.worth();
@@ -46,14 +34,6 @@
 
 }  // namespace
 
-void add(coordination::RequestCounts& to, const coordination::RequestCounts& more) {
-  to.set_served(to.served() + more.served());
-  to.set_refused(to.refused() + more.refused());
-  to.set_failed(to.failed() + more.failed());
-  to.set_tokens(to.tokens() + more.tokens());
-  to.set_worth(to.worth() + more.worth());
-}
-
 ReplicatedCounter::ReplicatedCounter(const Settings& settings, std::string router, std::uint64_t birth,
                                      std::string site)
     : settings_(settings),
@@ -63,33 +43,30 @@
 
 bool ReplicatedCounter::seal(Micros now, const Counts& counts) {
   const auto last = table_.rows().find(self_);
-  if (same_counts(counts, own_) && !dirty_ && now - last->second.sealed < kResealAfter) return false;
+  const bool nothing_new = is_sealed_ && !has_unsealed_folds_ && same_counts(counts, own_);
+  if (nothing_new && now - last->second.sealed < kResealAfter) return false;
   own_ = counts;
-  dirty_ = false;
-  table_.merge(now, make_row(counts), 0, 0);
+  is_sealed_ = true;
+  has_unsealed_folds_ = false;
+  table_.merge(now, make_row(), 0, 0);
   return true;
 }
 
-coordination::CounterRow ReplicatedCounter::make_row(const Counts& counts) const {
-  Counts sum = counts;
+// `counts` is the total and `folded` what it holds, for older programs; `parts` has the entries.
+coordination::CounterRow ReplicatedCounter::make_row() {
   coordination::CounterRow row;
-  for (const auto& [birth, earlier] : earlier_) {
-    for (const coordination::RequestCounts& count : earlier.counts()) {
-      add(sum[{count.team(), count.klass()}], count);
-    }
-    coordination::VersionMark& mark = *row.add_folded();
-    mark.set_name(self_.router);
-    mark.set_birth(birth);
-    mark.set_version(earlier.version());
-  }
   row.set_name(self_.router);
   row.set_birth(self_.birth);
   row.set_site(site_);
   row.set_version(table_.version(self_) + 1);
+  earlier_.compact(kMaxEarlier);
+  Counts sum = own_;
+  add(sum, earlier_.total());
+  const std::size_t max_counts = settings_.max_counts_per_row;
   // Beyond the bound all others count as one.
   coordination::RequestCounts rest;
   for (const auto& [key, count] : sum) {
-    if (static_cast<std::size_t>(row.counts_size()) + 1 >= settings_.max_counts_per_row) {
+    if (static_cast<std::size_t>(row.counts_size()) + 1 >= max_counts) {
       add(rest, count);
       continue;
     }
@@ -98,7 +75,23 @@
     out.set_team(key.team);
     out.set_klass(key.request_class);
   }
-  if (sum.size() >= settings_.max_counts_per_row) *row.add_counts() = rest;
+  if (sum.size() >= max_counts) *row.add_counts() = rest;
+  if (earlier_.by_birth().empty()) return row;
+  std::size_t entries = own_.size();
+  for (const auto& [birth, earlier] : earlier_.by_birth()) {
+    coordination::VersionMark& mark = *row.add_folded();
+    mark.set_name(self_.router);
+    mark.set_birth(birth);
+    mark.set_version(earlier.version);
+    append_part(row, birth, earlier);
+    entries = std::max(entries, earlier.counts.size());
+  }
+  append_part(row, self_.birth, {row.version(), own_, 0, {}});
+  std::size_t part_bytes = 0;
+  for (const coordination::ProcessCounts& part : row.parts()) part_bytes += part.ByteSizeLong();
+  // A row that has been one sum stays one: readers prefer sums, whatever their version.
+  sums_only_ = sums_only_ || part_bytes > kMaxPartBytes || entries > max_counts;
+  if (sums_only_) row.clear_parts();
   return row;
 }
 
@@ -108,19 +101,49 @@
   if (row.version() == 0 || row.version() > kMaxCount || row.birth() == 0 || row.age_us() < 0) return false;
   if (static_cast<std::size_t>(row.counts_size()) > settings_.max_counts_per_row) return false;
   if (static_cast<std::size_t>(row.folded_size()) > kMaxEarlier) return false;
-  return std::all_of(row.counts().begin(), row.counts().end(), is_plausible_count) &&
-         std::all_of(row.folded().begin(), row.folded().end(), [&](const coordination::VersionMark& mark) {
-           return mark.name() == row.name() && mark.birth() < row.birth();
-         });
+  if (static_cast<std::size_t>(row.parts_size()) > kMaxEarlier + 1) return false;
+  const auto plausible_counts = [](const auto& counts) {
+    return std::all_of(counts.begin(), counts.end(), is_plausible_count);
+  };
+  const auto plausible_mark = [&](const coordination::VersionMark& mark) {
+    return mark.name() == row.name() && mark.birth() < row.birth();
+  };
+  const auto plausible_part = [&](const coordination::ProcessCounts& part) {
+    return part.birth() != 0 && part.birth() <= row.birth() && part.version() != 0 &&
+           part.version() <= kMaxCount && part.holds_before() <= part.birth() &&
+           static_cast<std::size_t>(part.holds_size()) <= kMaxEarlier &&
+           static_cast<std::size_t>(part.counts_size()) <= settings_.max_counts_per_row &&
+           plausible_counts(part.counts());
+  };
+  return plausible_counts(row.counts()) &&
+         std::all_of(row.folded().begin(), row.folded().end(), plausible_mark) &&
+         std::all_of(row.parts().begin(), row.parts().end(), plausible_part);
 }
 
-bool ReplicatedCounter::is_folded(const ProcessId& process, std::uint64_t version) const {
-  for (const auto& [other, row] : table_.rows()) {
-    if (other.router != process.router || other.birth <= process.birth) continue;
-    const coordination::VersionMark* mark = fold_mark(row.entry, process.birth);
-    if (mark != nullptr ? mark->version() >= version : has_folded(row.entry, process.birth)) return true;
+Contributions ReplicatedCounter::contributions(const std::string& router, std::uint64_t after_birth) const {
+  Contributions out;
+  for (auto it = table_.rows().upper_bound({router, after_birth});
+       it != table_.rows().end() && it->first.router == router; ++it) {
+    out.merge(Contributions::of_row(it->second.entry));
+  }
+  return out;
+}
+
+bool ReplicatedCounter::is_superseded(const coordination::CounterRow& row) const {
+  // An older program goes by its marks, and still takes up what is beyond them.
+  bool is_marked = false;
+  bool is_beyond_mark = false;
+  for (auto it = table_.rows().upper_bound({row.name(), row.birth()});
+       it != table_.rows().end() && it->first.router == row.name(); ++it) {
+    if (!it->second.entry.parts().empty()) continue;
+    for (const coordination::VersionMark& mark : it->second.entry.folded()) {
+      if (mark.birth() != row.birth()) continue;
+      (mark.version() < row.version() ? is_beyond_mark : is_marked) = true;
+    }
   }
-  return false;
+  if (is_beyond_mark && !is_marked) return false;
+  Contributions later = contributions(row.name(), row.birth());
+  return !later.by_birth().empty() && !later.merge(Contributions::of_row(row));
 }
 
 absl::Status ReplicatedCounter::merge(Micros now, coordination::CounterRow row, Micros extra_delay,
@@ -132,60 +155,76 @@
     return absl::InvalidArgumentError("a row of ours that we have not written");
   }
   const bool of_this_router = process.router == self_.router;
-  if (of_this_router && process.birth > self_.birth)
-    return absl::OkStatus();                                       // this process is the earlier one
-  if (is_folded(process, row.version())) return absl::OkStatus();  // it is not to come back
+  if (of_this_router && process.birth > self_.birth) return absl::OkStatus();  // this is the earlier one
   if (of_this_router) {
     // Of an earlier process: it is over, since its address was free.
-    fold_into_own(std::move(row));
+    fold_into_own(row);
     return absl::OkStatus();
   }
+  if (is_superseded(row)) return absl::OkStatus();  // it is not to come back
   const coordination::CounterRow copy = row;
-  if (table_.merge(now, std::move(row), extra_delay, transmissions)) drop_folded_rows(now, copy);
+  if (table_.merge(now, std::move(row), extra_delay, transmissions)) drop_superseded_rows(now, copy);
   return absl::OkStatus();
 }
 
-void ReplicatedCounter::drop_folded_rows(Micros now, const coordination::CounterRow& row) {
+void ReplicatedCounter::drop_superseded_rows(Micros now, const coordination::CounterRow& row) {
   for (const coordination::VersionMark& mark : row.folded()) {
     const ProcessId earlier{mark.name(), mark.birth()};
-    ended_.try_emplace(earlier, now);
-    if (table_.version(earlier) <= mark.version()) table_.erase(earlier);
+    if (table_.rows().contains(earlier)) ended_.try_emplace(earlier, now);
+  }
+  for (auto it = table_.rows().lower_bound({row.name(), 0});
+       it != table_.rows().end() && it->first.router == row.name() && it->first.birth < row.birth();) {
+    if (!is_superseded(it->second.entry)) {
+      ++it;
+      continue;
+    }
+    ++counters_.superseded;
+    ended_.erase(it->first);
+    it = table_.rows().erase(it);
   }
 }
 
-// What an earlier process had folded in stands in its row already.
-void ReplicatedCounter::fold_into_own(coordination::CounterRow row) {
-  const std::uint64_t birth = row.birth();
-  for (const auto& [other, earlier] : earlier_) {
-    if (other > birth && has_folded(earlier, birth)) return;
-    if (other == birth && earlier.version() >= row.version()) return;
+void ReplicatedCounter::fold_into_own(const coordination::CounterRow& row) {
+  const Contributions of_row = Contributions::of_row(row);
+  if (earlier_.merge(of_row)) {
+    ++counters_.folds;
+    has_unsealed_folds_ = true;
+    return;
   }
-  std::erase_if(earlier_,
-                [&](const auto& entry) { return entry.first < birth && has_folded(row, entry.first); });
-  if (earlier_.size() < kMaxEarlier || earlier_.contains(birth)) earlier_[birth] = std::move(row);
-  dirty_ = true;
+  const auto known = earlier_.by_birth().find(row.birth());
+  counters_.not_counted += known == earlier_.by_birth().end() || known->second.version < row.version();
+}
+
+Micros ReplicatedCounter::age(Micros now, const ProcessId& process, Micros sealed) const {
+  const auto ended = ended_.find(process);
+  return std::max<Micros>(0, (ended == ended_.end() ? now : ended->second) - sealed);
 }
 
 std::map<TotalKey, ReplicatedCounter::Total> ReplicatedCounter::totals(Micros now) const {
   std::map<TotalKey, Total> totals;
-  for (const auto& [process, row] : table_.rows()) {
-    // A later process has folded this row in, but not as far as it has reached us: what is beyond is not
-    // known.
-    const auto folded_by = [&, &process = process](const auto& other) {
-      return other.first.router == process.router && other.first.birth > process.birth &&
-             has_folded(other.second.entry, process.birth);
-    };
-    const bool counted = std::any_of(table_.rows().begin(), table_.rows().end(), folded_by);
-    const auto ended = ended_.find(process);
-    const Micros age = std::max<Micros>(0, (ended == ended_.end() ? now : ended->second) - row.sealed);
-    const Micros unknown = age + settings_.max_delay + kUnsealed;
-    const auto max_unknown = static_cast<std::uint64_t>(settings_.max_requests_per_s *
-                                                        static_cast<double>(unknown) / kMicrosPerSecond);
-    for (const coordination::RequestCounts& count : row.entry.counts()) {
-      Total& total = totals[{count.team(), count.klass(), row.entry.site()}];
-      if (!counted) add(total.count, count);
-      total.max_served += count.served() + max_unknown;
-      total.oldest = std::max(total.oldest, age);
+  for (auto it = table_.rows().begin(); it != table_.rows().end();) {
+    const std::string& router = it->first.router;
+    const Contributions of_router = contributions(router, 0);
+    std::string site;
+    for (; it != table_.rows().end() && it->first.router == router; ++it) {
+      const coordination::CounterRow& row = it->second.entry;
+      site = row.site();
+      const Micros row_age = age(now, it->first, it->second.sealed);
+      const Micros unknown = row_age + settings_.max_delay + kUnsealed;
+      const auto max_unknown = static_cast<std::uint64_t>(settings_.max_requests_per_s *
+                                                          static_cast<double>(unknown) / kMicrosPerSecond);
+      // A sum holds some version of this process. Which part of this one is in it is not known.
+      const bool is_held = !of_router.by_birth().contains(row.birth());
+      for (const coordination::RequestCounts& count : row.counts()) {
+        Total& total = totals[{count.team(), count.klass(), site}];
+        total.max_served += max_unknown + (is_held ? count.served() : 0);
+        total.oldest = std::max(total.oldest, row_age);
+      }
+    }
+    for (const auto& [key, count] : of_router.total()) {
+      Total& total = totals[{key.team, key.request_class, site}];
+      add(total.count, count);
+      total.max_served += count.served();
     }
   }
   return totals;
--- a/src/shared/replicated_counter.h
+++ b/src/shared/replicated_counter.h
@@ -1,8 +1,10 @@
 // Request counts of the whole fleet: a row for each process of each router, merged by version (a grow-only
 // counter; Shapiro and others, "Conflict-free Replicated Data Types", 2011).
 //
-// A router that starts anew folds the rows of its earlier processes into its own and says up to which
-// version; the others drop those rows then. So there is a row for each router, not for each start.
+// A router that starts anew takes the counts of its earlier processes into its own row, each by itself
+// (shared/counter_contributions.h); the others drop the rows of those then. So there is a row for each
+// router, not for each start. Of more than kMaxEarlier earlier processes the first ones are summed up: what
+// comes of those later is not counted.
 //
 // A total is what has reached this router, and an upper bound for what can't have reached it yet: each row's
 // owner may have ended max_requests_per_s since it made the row. The bound holds for routers that this one
@@ -18,18 +20,12 @@
 
 #include "absl/status/status.h"
 #include "coordination.pb.h"
+#include "shared/counter_contributions.h"
 #include "shared/settings.h"
 #include "shared/versioned_table.h"
 
 namespace flintglade::shared {
 
-// Which requests one count is of. Both empty: of any team and class.
-struct CountKey {
-  std::string team;
-  std::string request_class;
-  // clang-tidy 14 takes the 0 of the generated comparison for a null pointer.
-  auto operator<=>(const CountKey&) const = default;  // NOLINT(modernize-use-nullptr): as said above
-};
 struct TotalKey {
   std::string team;
   std::string request_class;
@@ -39,12 +35,16 @@
 
 class ReplicatedCounter {
  public:
-  using Counts = std::map<CountKey, coordination::RequestCounts>;
+  using Counts = shared::Counts;
 
   ReplicatedCounter(const Settings& settings, std::string router, std::uint64_t birth, std::string site);
 
   // What this process has counted until now. True: there is a new version of its row.
   bool seal(Micros now, const Counts& counts);
+  // Counts of an earlier process that have come since the last version: a new version with what was counted
+  // by then. True: there is one.
+  bool seal_folds(Micros now) { return has_unsealed_folds_ && seal(now, own_); }
+  bool has_unsealed_folds() const { return has_unsealed_folds_; }
   // Merges a row of another process, or of an earlier one of this router. Not OK: an implausible row, which
   // is dropped.
   absl::Status merge(Micros now, coordination::CounterRow row, Micros extra_delay, int transmissions);
@@ -56,28 +56,40 @@
   };
   std::map<TotalKey, Total> totals(Micros now) const;
 
+  // Since the start.
+  struct Counters {
+    std::uint64_t folds = 0;        // rows of earlier processes that had something new for our own
+    std::uint64_t superseded = 0;   // rows that were dropped, since a later process's row has them
+    std::uint64_t not_counted = 0;  // rows of earlier processes of which a sum holds some version already
+  };
+  const Counters& counters() const { return counters_; }
+
   VersionedTable<coordination::CounterRow>& table() { return table_; }
   const VersionedTable<coordination::CounterRow>& table() const { return table_; }
 
  private:
   bool is_plausible(const coordination::CounterRow& row) const;
-  // Whether a row of a later process of that router holds this one's counts already.
-  bool is_folded(const ProcessId& process, std::uint64_t version) const;
-  void fold_into_own(coordination::CounterRow row);
-  coordination::CounterRow make_row(const Counts& counts) const;
-  void drop_folded_rows(Micros now, const coordination::CounterRow& row);
+  // What the rows of this router say that began after `birth`.
+  Contributions contributions(const std::string& router, std::uint64_t after_birth) const;
+  // Whether rows of later processes of that router have all that this row says.
+  bool is_superseded(const coordination::CounterRow& row) const;
+  void fold_into_own(const coordination::CounterRow& row);
+  coordination::CounterRow make_row();
+  // The processes that this row says to be over, and their rows.
+  void drop_superseded_rows(Micros now, const coordination::CounterRow& row);
+  Micros age(Micros now, const ProcessId& process, Micros sealed) const;
 
   Settings settings_;
   ProcessId self_;
   std::string site_;
   VersionedTable<coordination::CounterRow> table_;
-  std::map<std::uint64_t, coordination::CounterRow>
-      earlier_;                        // of this router, folded into our row; by birth
-  std::map<ProcessId, Micros> ended_;  // processes that are surely over, since when
+  Contributions earlier_;              // of this router's earlier processes
+  std::map<ProcessId, Micros> ended_;  // rows of processes that are surely over, since when
   Counts own_;
-  bool dirty_ = true;  // something was folded in since the last version
+  bool is_sealed_ = false;  // there is a version
+  bool has_unsealed_folds_ = false;
+  bool sums_only_ = false;  // the entries have become too large for a row, which is one sum from then on
+  Counters counters_;
 };
 
-void add(coordination::RequestCounts& to, const coordination::RequestCounts& more);
-
 }  // namespace flintglade::shared
--- a/src/shared/shared_state.cpp
+++ b/src/shared/shared_state.cpp
@@ -107,6 +107,18 @@
   counter_.table().rows()[self_].transmissions_left = kOwnRowTransmissions;
 }
 
+void SharedState::schedule_fold_seal(Micros now) {
+  if (counter_.has_unsealed_folds()) next_fold_seal_ = std::min(next_fold_seal_, now + settings_.gossip);
+}
+
+// Without it they would be in nobody's total until this router counts a request of its own, which may be
+// never.
+void SharedState::seal_folds(Micros now) {
+  next_fold_seal_ = core::kNever;
+  if (!settings_.counts || !counter_.seal_folds(now)) return;
+  counter_.table().rows()[self_].transmissions_left = kOwnRowTransmissions;
+}
+
 void SharedState::on_observations(Micros now, std::vector<coordination::ReplicaObservation> observations) {
   coordination::HealthObservations row;
   row.set_name(self_.router);
@@ -199,6 +211,7 @@
     if (merged.ok()) continue;
     wrong = "row of " + row.name().substr(0, kMaxNameBytes) + ": " + std::string(merged.message());
   }
+  schedule_fold_seal(now);
   bool new_observations = false;
   for (const coordination::HealthObservations& observations : update.seen()) {
     if (!is_plausible(observations)) {
@@ -286,7 +299,10 @@
 void SharedState::send(Micros now, Protocol& protocol, const std::string& router,
                        SharedStateMessage message) {
   const auto member = protocol.membership().others().find(router);
-  if (member == protocol.membership().others().end()) return;
+  if (member == protocol.membership().others().end()) {
+    ++counters_.unknown_receivers;
+    return;
+  }
   message.set_sent_us(now);
   message.set_unix_us(ports_.unix_time());
   ++counters_.sent;
@@ -379,6 +395,7 @@
 }
 
 void SharedState::tick(Micros now, Protocol& protocol) {
+  if (now >= next_fold_seal_) seal_folds(now);
   if (now >= next_gossip_) {
     next_gossip_ = now + settings_.gossip;
     gossip(now, protocol);
@@ -393,7 +410,7 @@
 }
 
 Micros SharedState::next_timer() const {
-  return std::min({next_gossip_, next_digest_, next_summaries_, next_allocator_run_});
+  return std::min({next_gossip_, next_digest_, next_summaries_, next_allocator_run_, next_fold_seal_});
 }
 
 std::string SharedState::snapshot(Micros now) const {
@@ -411,6 +428,7 @@
     // An implausible row is left out; the others are good.
     counter_.merge(now, row, kMaxAge, kRestoredRowTransmissions).IgnoreError();
   }
+  schedule_fold_seal(now);
   return absl::OkStatus();
 }
 
@@ -452,6 +470,10 @@
   counters["no_bank"] = counters_.no_allocator;
   counters["digests"] = counters_.digests;
   counters["too_few_clocks"] = counters_.too_few_clocks;
+  counters["unknown_receivers"] = counters_.unknown_receivers;
+  counters["counter_folds"] = counter_.counters().folds;
+  counters["counter_rows_superseded"] = counter_.counters().superseded;
+  counters["counter_rows_not_counted"] = counter_.counters().not_counted;
   const QuotaAllocator::Counters& allocator = quota_allocator_.counters();
   counters["bank_asks"] = allocator.requests;
   counters["bank_again"] = allocator.repeated;
--- a/src/shared/shared_state.h
+++ b/src/shared/shared_state.h
@@ -105,6 +105,9 @@
   bool lacks_rows_of(const coordination::Digest& digest) const;
   void publish_health_summaries(Micros now, const Protocol& protocol);
   void run_allocator(Micros now, Protocol& protocol);
+  // A row with what earlier processes of this router have counted is due soon after that has come.
+  void schedule_fold_seal(Micros now);
+  void seal_folds(Micros now);
 
   static std::vector<const membership::Peer*> living_members(const Protocol& protocol);
   // How often a new row is passed on, by the fleet's size.
@@ -127,6 +130,7 @@
   Micros next_gossip_ = 0;
   Micros next_digest_ = 0;
   Micros next_allocator_run_ = core::kNever;
+  Micros next_fold_seal_ = core::kNever;
   Micros next_summaries_ = core::kNever;
   coordination::SharedStatus quota_status_;
   std::set<core::ReplicaId> avoided_;
@@ -134,7 +138,8 @@
   struct Counters {
     std::uint64_t sent = 0, received = 0, bytes_sent = 0, rejected = 0;
     std::uint64_t requests_to_peers = 0, no_allocator = 0, digests = 0;
-    std::uint64_t too_few_clocks = 0;  // rounds of the allocator without a draw for that reason
+    std::uint64_t too_few_clocks = 0;     // rounds of the allocator without a draw for that reason
+    std::uint64_t unknown_receivers = 0;  // messages to routers that are not known, and so were not sent
   } counters_;
 };
 
--- a/tests/shared/replicated_counter_test.cpp
+++ b/tests/shared/replicated_counter_test.cpp
@@ -182,6 +182,87 @@
   }
 }
 
+// What was folded is told without a request of its own: a router that is quiet after its start kept the
+// counts of its earlier processes to itself.
+TEST(ReplicatedCounter, SealsWhatItFoldedWithoutANewCount) {
+  ReplicatedCounter counter(Settings{}, "a", 5, "");
+  counter.seal(0, {{{"t", "c"}, count_of(7)}});
+  EXPECT_FALSE(counter.seal_folds(1));
+  EXPECT_TRUE(counter.merge(1, row("a", 3, 4, 100), 0, 0).ok());
+  EXPECT_TRUE(counter.has_unsealed_folds());
+  EXPECT_TRUE(counter.seal_folds(2));
+  EXPECT_EQ(served(counter), 107u);
+  EXPECT_TRUE(counter.merge(3, row("a", 3, 4, 100), 0, 0).ok());
+  EXPECT_FALSE(counter.seal_folds(4));
+}
+
+// More processes than a row has entries for: the first ones are one sum, and nothing is counted twice.
+TEST(ReplicatedCounter, SumsUpTheFirstOfManyProcesses) {
+  constexpr std::uint64_t kProcesses = 60;
+  ReplicatedCounter other(Settings{}, "b", 1, "");
+  coordination::CounterRow last_row;
+  for (std::uint64_t birth = 1; birth <= kProcesses; ++birth) {
+    ReplicatedCounter process(Settings{}, "a", birth, "");
+    if (birth > 1) {
+      EXPECT_TRUE(process.merge(0, last_row, 0, 0).ok());
+    }
+    last_row = sealed(process, birth, 10);
+    EXPECT_LE(last_row.parts_size(), 17);
+    EXPECT_LE(last_row.folded_size(), 16);
+    EXPECT_TRUE(other.merge(0, last_row, 0, 0).ok());
+    EXPECT_EQ(served(other), 10 * birth);
+  }
+  EXPECT_TRUE(other.merge(0, row("a", 2, 1, 10), 0, 0).ok());  // the sum holds it
+  EXPECT_EQ(served(other), 10 * kProcesses);
+}
+
+// Entries that are too large for a row: one sum, from then on.
+TEST(ReplicatedCounter, ARowWhoseEntriesAreTooLargeIsOneSum) {
+  const std::string long_name(60, 'x');
+  ReplicatedCounter::Counts many;
+  for (int team = 0; team < 200; ++team) many[{long_name + std::to_string(team), long_name}] = count_of(1);
+  ReplicatedCounter first(Settings{}, "a", 1, "");
+  first.seal(0, many);
+  ReplicatedCounter second(Settings{}, "a", 2, "");
+  EXPECT_TRUE(second.merge(0, first.table().rows().at({"a", 1}).entry, 0, 0).ok());
+  second.seal(0, {{{"t", "c"}, count_of(5)}});
+  const coordination::CounterRow row_of_second = second.table().rows().at({"a", 2}).entry;
+  EXPECT_EQ(row_of_second.parts_size(), 0);
+  ReplicatedCounter other(Settings{}, "b", 1, "");
+  EXPECT_TRUE(other.merge(0, first.table().rows().at({"a", 1}).entry, 0, 0).ok());
+  EXPECT_TRUE(other.merge(0, row_of_second, 0, 0).ok());
+  EXPECT_EQ(served(other), 205u);
+}
+
+// Rows of programs that know no entries: a row that has folded others is one sum of them, and is never added
+// to what it holds. Beside it an entry that it does not hold counts.
+TEST(ReplicatedCounter, TakesRowsOfOlderProgramsForSums) {
+  const auto old_row = [](std::uint64_t birth, std::uint64_t counted, std::uint64_t folded) {
+    coordination::CounterRow out = row("a", birth, 4, counted);
+    coordination::VersionMark& mark = *out.add_folded();
+    mark.set_name("a");
+    mark.set_birth(folded);
+    mark.set_version(1);
+    return out;
+  };
+  ReplicatedCounter other(Settings{}, "b", 1, "");
+  EXPECT_TRUE(other.merge(0, row("a", 1, 1, 100), 0, 0).ok());
+  EXPECT_TRUE(other.merge(0, old_row(3, 110, 1), 0, 0).ok());
+  EXPECT_EQ(served(other), 110u);
+  EXPECT_TRUE(other.merge(0, row("a", 2, 1, 7), 0, 0).ok());
+  EXPECT_EQ(served(other), 117u);
+  EXPECT_TRUE(other.merge(0, old_row(2, 107, 1), 0, 0).ok());  // both sums hold process 1
+  EXPECT_LE(served(other), 117u);
+
+  ReplicatedCounter next(Settings{}, "a", 4, "");
+  EXPECT_TRUE(next.merge(0, old_row(3, 110, 1), 0, 0).ok());
+  EXPECT_TRUE(next.merge(0, row("a", 2, 1, 7), 0, 0).ok());
+  EXPECT_TRUE(next.merge(0, row("a", 1, 9, 180), 0, 0).ok());
+  EXPECT_EQ(next.counters().not_counted, 1u);
+  EXPECT_TRUE(other.merge(0, sealed(next, 4, 1), 0, 0).ok());
+  EXPECT_EQ(served(other), 118u);
+}
+
 TEST(ReplicatedCounter, RejectsImplausibleRows) {
   ReplicatedCounter counter(Settings{}, "b", 1, "");
   EXPECT_FALSE(counter.merge(0, row("a", 0, 1, 1), 0, 0).ok());
