Requests for introduction spend no updates, and commands take only their own answer

Cause: 'flintglade fleet' took the first datagram that came for its answer. And those requests took updates along, each of which is sent a few times only: a process whose name another one had taken did not hear of that one.

Mend: a command passes over packets that are no answer to its question, by kind and number; requests for introduction carry no updates; a process that is known under a later birth is told of that one at each of its packets.

--- a/src/commands/fleet.cpp
+++ b/src/commands/fleet.cpp
@@ -33,7 +33,8 @@
 constexpr int kElectionTries = 12;
 constexpr std::chrono::milliseconds kElectionWait{500};
 
-// One question, one answer; asked again where none comes. False: none came.
+// One question, one answer; asked again where none comes. Other packets that come to this address, such as
+// those for whoever had it before, are passed over.
 class Line {
  public:
   explicit Line(const std::string& at) : socket_(io_, udp::endpoint(udp::v4(), 0)) {
@@ -44,18 +45,17 @@
     good_ = !ec && to_.address().is_v4();
   }
   bool good() const { return good_; }
+  // False: no answer came.
   bool ask(const coordination::Packet& question, coordination::Packet& answer, int tries = kTries,
            std::chrono::milliseconds wait = kWait) {
     for (int i = 0; i < tries; ++i) {
       boost::system::error_code ec;
       socket_.send_to(asio::buffer(question.SerializeAsString()), to_, 0, ec);
-      bool got = false;
-      socket_.async_receive(asio::buffer(bytes_), [&](boost::system::error_code failed, std::size_t n) {
-        got = !failed && answer.ParseFromArray(bytes_.data(), static_cast<int>(n));
-      });
+      answered_ = false;
+      receive(question, answer);
       io_.restart();
       io_.run_for(wait);
-      if (got) return true;
+      if (answered_) return true;
       socket_.cancel(ec);
       io_.restart();
       io_.run();
@@ -64,6 +64,20 @@
   }
 
  private:
+  static bool answers(const coordination::Packet& question, const coordination::Packet& packet) {
+    if (question.has_query()) return packet.has_status();
+    return packet.has_reply() && packet.reply().number() == question.request().number();
+  }
+  void receive(const coordination::Packet& question, coordination::Packet& answer) {
+    socket_.async_receive(asio::buffer(bytes_), [&](boost::system::error_code failed, std::size_t n) {
+      if (failed == asio::error::operation_aborted) return;
+      answered_ =
+          !failed && answer.ParseFromArray(bytes_.data(), static_cast<int>(n)) && answers(question, answer);
+      if (!answered_) receive(question, answer);
+    });
+  }
+
+  bool answered_ = false;
   asio::io_context io_;
   udp::socket socket_;
   udp::endpoint to_;
--- a/src/membership/swim.cpp
+++ b/src/membership/swim.cpp
@@ -357,13 +357,15 @@
 }
 
 // A packet of a member that is held for dead or suspected proves that it lives, but not that others reach it.
-// It is told what is said of it, so that it can refute that.
+// It is told what is said of it, so that it can refute that. A process whose name another one has taken is
+// told of that one.
 void Swim::remind_of_its_status(const std::string& name, std::uint64_t birth) {
   const auto it = peers_.find(name);
-  if (it == peers_.end() || it->second.birth != birth) return;
-  if (it->second.standing == coordination::DEAD || it->second.standing == coordination::SUSPECT) {
-    gossip_.add(word_of(it->second));
-  }
+  if (it == peers_.end() || birth == 0) return;
+  const bool is_replaced = birth < it->second.birth;
+  const bool is_doubted = birth == it->second.birth && (it->second.standing == coordination::DEAD ||
+                                                        it->second.standing == coordination::SUSPECT);
+  if (is_replaced || is_doubted) gossip_.add(word_of(it->second));
 }
 
 bool Swim::is_unknown(const coordination::Packet& packet) const {
@@ -405,7 +407,8 @@
     coordination::Packet request = packet(it->first);
     request.mutable_sync()->set_answer(true);
     request.mutable_sync()->set_introduce(true);
-    send(pending.address, std::move(request));
+    // Without updates: those that are spread a few times only are not to be spent on it.
+    transmit(pending.address, request);
     ++it;
   }
 }
@@ -537,6 +540,10 @@
 
 void Swim::send(const std::string& address, coordination::Packet&& packet, const std::string& about) {
   if (packet.words_size() == 0) add_updates(packet, about);
+  transmit(address, packet);
+}
+
+void Swim::transmit(const std::string& address, const coordination::Packet& packet) {
   Datagram datagram{address, packet.SerializeAsString()};
   ++counters_.sent;
   counters_.bytes_sent += datagram.bytes.size();
--- a/src/membership/swim.h
+++ b/src/membership/swim.h
@@ -168,6 +168,7 @@
   // ---- sent packets
   // about: a member whose state is to go along, so that it can refute it.
   void send(const std::string& address, coordination::Packet&& packet, const std::string& about = "");
+  void transmit(const std::string& address, const coordination::Packet& packet);  // as it is
   void add_updates(coordination::Packet& packet, const std::string& about);
   // The whole member list, in as many datagrams as it takes. answer: the receiver's list is asked for.
   void send_all_members(const std::string& address, const std::string& name, bool answer);
