--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -285,9 +285,10 @@
     thread_.join();
   }
   void close() override {
-    shy = false;
+    // Before its thread may read: a client that leaves without reading takes none of its answer.
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_both, ignored);
+    shy = false;
   }
   std::string verdict() override {
     for (int i = 0; i < patience_ && !done_; ++i) std::this_thread::sleep_for(2ms);
@@ -391,8 +392,8 @@
     thread_.join();
   }
   void close() override {
-    shy = false;
     context_.TryCancel();
+    shy = false;
   }
   std::string verdict() override {
     for (int i = 0; i < 15000 && !done_; ++i) std::this_thread::sleep_for(2ms);
