A voter acknowledges only the entries that its request covers

An entry of its own, which the leader never had, counts as a replica of the leader's entry at that index, and the leader commits what nobody else has. Raft (figure 2) takes the match index from what the request covered.

It is sent while the request is handled, so nothing is kept between requests.

--- a/src/coordination/raft_library_io.cpp
+++ b/src/coordination/raft_library_io.cpp
@@ -39,6 +39,19 @@
   return out;
 }
 
+// The index up to which the receiver's log agrees with the leader's if it accepts this message. 0: the
+// message covers no entry.
+raft_index covered_index(const raft_message& message) {
+  switch (message.type) {
+    case RAFT_IO_APPEND_ENTRIES:
+      return message.append_entries.prev_log_index + message.append_entries.n_entries;
+    case RAFT_IO_INSTALL_SNAPSHOT:
+      return message.install_snapshot.last_index;
+    default:
+      return 0;
+  }
+}
+
 int refuse_configuration(raft_io*, const raft_configuration*) { return RAFT_CANTBOOTSTRAP; }
 
 }  // namespace
@@ -70,6 +83,13 @@
   io_.random = random;
 }
 
+void RaftLibraryIo::receive(raft_message& message) {
+  covered_index_ = covered_index(message);
+  on_receive_(&io_, &message);
+  run_callbacks();  // the acknowledgement is sent by then, since storage calls are synchronous
+  covered_index_ = 0;
+}
+
 void RaftLibraryIo::run_callbacks() {
   while (!callbacks_.empty()) {
     const auto callback = std::move(callbacks_.front());
@@ -128,10 +148,18 @@
   return self(io).write_frame(frame);
 }
 
+void RaftLibraryIo::limit_acknowledgement(raft_append_entries_result& result) const {
+  const bool is_accepted = result.rejected == 0;
+  if (is_accepted) result.last_log_index = std::min(result.last_log_index, covered_index_);
+}
+
 int RaftLibraryIo::send(raft_io* io, raft_io_send* request, const raft_message* message,
                         raft_io_send_cb callback) {
   RaftLibraryIo& instance = self(io);
-  const Raft encoded = encode_raft_message(*message, {instance.state_.head.id(), instance.address_});
+  raft_message outgoing = *message;
+  if (outgoing.type == RAFT_IO_APPEND_ENTRIES_RESULT)
+    instance.limit_acknowledgement(outgoing.append_entries_result);
+  const Raft encoded = encode_raft_message(outgoing, {instance.state_.head.id(), instance.address_});
   if (encoded.ByteSizeLong() <= kMaxMessageBytes) instance.send_(message->server_address, encoded);
   // The library sends TimeoutNow, which transfers the leadership, without a callback.
   if (callback != nullptr) instance.callbacks_.emplace_back([request, callback] { callback(request, 0); });
--- a/src/coordination/raft_library_io.h
+++ b/src/coordination/raft_library_io.h
@@ -4,6 +4,10 @@
 // must not be called from within the library, so they are queued here until run_callbacks(). Storage calls
 // are synchronous. For use on one thread.
 //
+// C-Raft acknowledges a request with the last index that it has stored, including entries that the leader
+// does not have, and a leader counts them as replicas of its own entries. Here an acknowledgement is limited
+// to the entries that its request covers (Raft, figure 2: matchIndex).
+//
 // A write that fails halts the voter until its process restarts: from then on every write is refused.
 #pragma once
 
@@ -40,9 +44,10 @@
   raft_io* library_handle() { return &io_; }
   // Sets the time that the library gets until the next call.
   void set_time(Micros now) { now_ = now; }
-  // Pass a clock tick or a message to the library, which takes ownership of the message's allocations.
+  // Passes a clock tick to the library.
   void tick() { on_tick_(&io_); }
-  void receive(raft_message& message) { on_receive_(&io_, &message); }
+  // Passes a message to the library, which takes ownership of its allocations, and runs the queued callbacks.
+  void receive(raft_message& message);
   // Runs the queued callbacks, including those that they add, until the queue is empty.
   void run_callbacks();
   bool has_callbacks() const { return !callbacks_.empty(); }
@@ -73,6 +78,8 @@
 
   // Applies a frame to the state and writes it. Returns an error code of the library, or 0.
   int write_frame(const Frame& frame);
+  // Limits what an acknowledgement claims to the entries that its request covers.
+  void limit_acknowledgement(raft_append_entries_result& result) const;
   // Stores the first error of a write. Returns an error code of the library, or 0.
   int finish_write(const absl::Status& status);
 
@@ -87,6 +94,7 @@
   raft_io_recv_cb on_receive_ = nullptr;
   std::deque<std::function<void()>> callbacks_;
   Micros now_ = 0;
+  raft_index covered_index_ = 0;  // of the request that is being handled
   absl::Status halt_status_;
 };
 
--- a/src/coordination/raft_node.cpp
+++ b/src/coordination/raft_node.cpp
@@ -211,7 +211,6 @@
   std::optional<raft_message> decoded = decode_raft_message(message, sender_address);
   if (!decoded) return;
   io_.receive(*decoded);
-  io_.run_callbacks();
 }
 
 PersistentState RaftNode::initial_state(const std::string& fleet, std::uint64_t id,
