A voter commits only the entries that its request covers

A voter with an unreplicated entry of its own applies it when a heartbeat covers less than is committed. This library's leader always sends all entries to its end, so only another leader would trigger it.

Change: the commit index is limited in front of the library.

Failed before: RaftNode.CommitsNoEntryBeyondThoseThatTheRequestCovers (index 2 applied instead of 1, also with the acknowledgements limited).

--- a/src/coordination/raft_library_io.cpp
+++ b/src/coordination/raft_library_io.cpp
@@ -85,6 +85,7 @@
 
 void RaftLibraryIo::receive(raft_message& message) {
   covered_index_ = covered_index(message);
+  if (message.type == RAFT_IO_APPEND_ENTRIES) limit_commit_index(message.append_entries);
   on_receive_(&io_, &message);
   run_callbacks();  // the acknowledgement is sent by then, since storage calls are synchronous
   covered_index_ = 0;
@@ -148,6 +149,10 @@
   return self(io).write_frame(frame);
 }
 
+void RaftLibraryIo::limit_commit_index(raft_append_entries& request) const {
+  request.leader_commit = std::min(request.leader_commit, covered_index_);
+}
+
 void RaftLibraryIo::limit_acknowledgement(raft_append_entries_result& result) const {
   const bool is_accepted = result.rejected == 0;
   if (is_accepted) result.last_log_index = std::min(result.last_log_index, covered_index_);
--- a/src/coordination/raft_library_io.h
+++ b/src/coordination/raft_library_io.h
@@ -6,7 +6,8 @@
 //
 // C-Raft acknowledges a request with the last index that it has stored, including entries that the leader
 // does not have, and a leader counts them as replicas of its own entries. Here an acknowledgement is limited
-// to the entries that its request covers (Raft, figure 2: matchIndex).
+// to the entries that its request covers (Raft, figure 2: matchIndex). So is the commit index that a request
+// tells (figure 2, AppendEntries, step 5), which C-Raft limits to the last stored index only.
 //
 // A write that fails halts the voter until its process restarts: from then on every write is refused.
 #pragma once
@@ -80,6 +81,8 @@
   int write_frame(const Frame& frame);
   // Limits what an acknowledgement claims to the entries that its request covers.
   void limit_acknowledgement(raft_append_entries_result& result) const;
+  // The same for the leader's commit index in a request.
+  void limit_commit_index(raft_append_entries& request) const;
   // Stores the first error of a write. Returns an error code of the library, or 0.
   int finish_write(const absl::Status& status);
 
--- a/tests/coordination/raft_node_test.cpp
+++ b/tests/coordination/raft_node_test.cpp
@@ -123,6 +123,16 @@
   EXPECT_EQ(result.last_index(), 2u);
 }
 
+// The same confusion with the commit index: a voter applied an entry of its own because the leader's commit
+// index was beyond the entries of the request.
+TEST(RaftNode, CommitsNoEntryBeyondThoseThatTheRequestCovers) {
+  TestVoter follower(2, {grant_entry(2, 2, "never replicated")});
+  const std::uint64_t committed_at_the_leader = 2;
+  follower.node.receive(0, append_entries(3, 1, 1, committed_at_the_leader));
+  EXPECT_EQ(follower.node.applied_index(), 1u);
+  EXPECT_EQ(follower.node.lease_state_machine().find("job"), nullptr);
+}
+
 TEST(RaftNode, AcknowledgesTheEntriesOfTheRequest) {
   TestVoter follower(2, {grant_entry(2, 2, "never replicated")});
   Raft request = append_entries(3, 1, 1, 1);
