Read a replica's messages without waiting for the event loop

Cause: the next read was started only when the event loop had handled the message before. gRPC keeps a message for which no read has been started, and discards it when the stream ends with a reset or its connection.

Evidence: with an event loop that handles nothing until the stream has ended, three messages became one at a reset and at a close on; at an error status in trailers all three came.

Change: ReadAhead, a class without I/O, permits the next read on gRPC's thread, up to 16 messages or 64 KiB that the loop has not handled, and none after a pause. With the limit in front of the messages, back pressure stays.

Failed before: ReplicaClientTest.PassesOnMessagesReceivedBeforeAReset... and ...BeforeAClose... They pass now, as does the one at trailers, which passed before.

Its stand-in sends at once now: a trace showed that its messages arrived 44 ms after they were written (Nagle's algorithm and a delayed acknowledgement), 6 ms before a reset that was to come 50 ms later.

--- a/src/kserve/replica_client.cpp
+++ b/src/kserve/replica_client.cpp
@@ -12,6 +12,7 @@
 #include "config/config.h"
 #include "kserve/credentials.h"
 #include "kserve/names.h"
+#include "kserve/read_ahead.h"
 #include "kserve_v2.pb.h"
 #include "log/log.h"
 
@@ -56,7 +57,7 @@
 
 // The gRPC call of one attempt. Both methods run as a stream of messages, which they are on the wire. The
 // reactor's callbacks arrive on gRPC's threads and are posted to the event loop; all members except the
-// buffers are used on the event loop only.
+// buffers and the ReadAhead are used on the event loop only.
 class GrpcReplicaClient::Call final : public grpc::ClientBidiReactor<grpc::ByteBuffer, grpc::ByteBuffer>,
                                       public std::enable_shared_from_this<Call> {
  public:
@@ -77,8 +78,7 @@
     AddHold();  // needed because reads are started outside the reactor's callbacks
     request_buffer_ = to_buffer(rpc_->body);
     StartWriteLast(&request_buffer_, grpc::WriteOptions());
-    reading_ = true;
-    StartRead(&response_buffer_);
+    start_read_if(read_ahead_.start());
     StartCall();
     // Cancels the call if the request is not written in time. This also keeps gRPC, which knows nothing of
     // draining, from sending the request over a late connection to a replica that has started to drain.
@@ -91,13 +91,12 @@
   void cancel() {
     cancelled_ = true;
     dial_timer_.cancel();
-    context_.TryCancel();
-    if (!reading_) release_hold();
+    stop_reading();
   }
 
   void pause(bool paused) {
-    paused_ = paused;
-    read_next();
+    if (paused) return read_ahead_.pause();
+    start_read_if(read_ahead_.resume());
   }
 
   // ---- called on gRPC's threads ----
@@ -108,7 +107,14 @@
     });
   }
   void OnReadDone(bool ok) override {
-    post([this, ok] { on_read(ok); });
+    if (!ok) {
+      read_ahead_.on_end();
+      return post([this] { release_hold_if_finished(); });
+    }
+    std::string message = to_string(response_buffer_);
+    const bool reads_on = read_ahead_.on_message(message.size());
+    post([this, message = std::move(message)]() mutable { on_message(std::move(message)); });
+    start_read_if(reads_on);  // after the post, which keeps the messages in order
   }
   void OnDone(const grpc::Status& status) override {
     post([this, status] { on_done(status); });
@@ -117,34 +123,44 @@
  private:
   template <typename F>
   void post(F handler) {
-    boost::asio::post(io_, [self = shared_from_this(), handler = std::move(handler)] { handler(); });
+    boost::asio::post(io_,
+                      [self = shared_from_this(), handler = std::move(handler)]() mutable { handler(); });
+  }
+
+  void on_message(std::string message) {
+    const std::size_t bytes = message.size();
+    if (!reading_stopped_) handle_message(std::move(message));
+    start_read_if(read_ahead_.on_handled(bytes));
+    release_hold_if_finished();
   }
 
-  void on_read(bool ok) {
-    reading_ = false;
-    if (!ok || cancelled_) return release_hold();
-    std::string bytes = to_string(response_buffer_);
+  void handle_message(std::string message) {
     if (!response_started_ && is_stream_) {
       inference::ModelStreamInferResponse first;
       // An error as the first message is not a response: another replica may still give one.
-      if (!first.ParseFromString(bytes) || (!first.error_message().empty() && !first.has_infer_response())) {
-        context_.TryCancel();
-        return release_hold();
-      }
+      if (!first.ParseFromString(message) || (!first.error_message().empty() && !first.has_infer_response()))
+        return stop_reading();
     }
     response_started_ = true;
-    owner_.broker_.on_attempt_events(id_, std::move(bytes));
-    read_next();
+    owner_.broker_.on_attempt_events(id_, std::move(message));
   }
 
-  void read_next() {
-    if (reading_ || paused_ || cancelled_ || hold_released_) return;
-    reading_ = true;
-    StartRead(&response_buffer_);
+  // Callable on any thread: ReadAhead permits one read at a time.
+  void start_read_if(bool permitted) {
+    if (permitted) StartRead(&response_buffer_);
+  }
+
+  // Ends the call. Messages that have been read and not handled yet are discarded.
+  void stop_reading() {
+    reading_stopped_ = true;
+    read_ahead_.stop();
+    context_.TryCancel();
+    release_hold_if_finished();
   }
 
-  void release_hold() {
-    if (std::exchange(hold_released_, true)) return;
+  // The hold is released once no read can start any more.
+  void release_hold_if_finished() {
+    if (!read_ahead_.is_finished() || std::exchange(hold_released_, true)) return;
     RemoveHold();
   }
 
@@ -190,8 +206,9 @@
   std::unique_ptr<grpc::TemplatedGenericStub<grpc::ByteBuffer, grpc::ByteBuffer>> stub_;
   grpc::ByteBuffer request_buffer_, response_buffer_;
   std::shared_ptr<Call> self_;
-  bool is_stream_ = false, reading_ = false, paused_ = false, written_ = false, response_started_ = false,
-       cancelled_ = false, hold_released_ = false;
+  ReadAhead read_ahead_;
+  bool is_stream_ = false, written_ = false, response_started_ = false, cancelled_ = false,
+       reading_stopped_ = false, hold_released_ = false;
 };
 
 GrpcReplicaClient::GrpcReplicaClient(boost::asio::io_context& io, core::Broker& broker, core::Clock& clock,
--- a/tests/h2_replica.cpp
+++ b/tests/h2_replica.cpp
@@ -91,6 +91,8 @@
     nghttp2_submit_settings(connection.session, NGHTTP2_FLAG_NONE, nullptr, 0);
     std::array<std::uint8_t, 16384> bytes;
     boost::system::error_code ec;
+    // With Nagle's algorithm and a delayed acknowledgement, messages would arrive 40 ms after they are sent.
+    socket.set_option(tcp::no_delay(true), ec);
     nghttp2_session_send(connection.session);
     while (!connection.close) {
       const std::size_t n = socket.read_some(asio::buffer(bytes), ec);
