A process that a test starts has ended only once its output has

What was seen: tls_files.kserve (7 of 21 plays beside load) and fleet_answers_move_9 (1 of 3, six at a time) missed the last lines of a process that had exited. No caller saw anything.

Cause: Process::ended followed waitpid, while the thread that reads the pipe might not have run since.

Change: ended() waits for the end of file of the pipe after the exit, bounded by 5 s. No check is changed; all readers of logs of ended processes go through it.

--- a/tests/fleet/process.cpp
+++ b/tests/fleet/process.cpp
@@ -15,6 +15,12 @@
 #include <stdexcept>
 
 namespace flintglade::tests {
+namespace {
+
+// A process that has exited leaves at most one pipe buffer of output.
+constexpr std::chrono::seconds kEndOfOutputTimeout{5};
+
+}  // namespace
 
 Process::Process(const ProcessOptions& options) {
   int pipe[2];
@@ -43,6 +49,9 @@
       log_.append(bytes, static_cast<std::size_t>(n));
     }
     ::close(read_end);
+    const std::lock_guard lock(mutex_);
+    has_output_ended_ = true;
+    output_ended_.notify_all();
   });
 }
 
@@ -60,11 +69,19 @@
 }
 
 bool Process::ended(int& status) {
-  if (!reaped_) reaped_ = ::waitpid(pid_, &status_, WNOHANG) == pid_;
+  if (!reaped_ && ::waitpid(pid_, &status_, WNOHANG) == pid_) {
+    reaped_ = true;
+    wait_for_end_of_output();
+  }
   status = status_;
   return reaped_;
 }
 
+void Process::wait_for_end_of_output() {
+  std::unique_lock lock(mutex_);
+  output_ended_.wait_for(lock, kEndOfOutputTimeout, [this] { return has_output_ended_; });
+}
+
 std::string Process::log() {
   const std::lock_guard lock(mutex_);
   return log_;
--- a/tests/fleet/process.h
+++ b/tests/fleet/process.h
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <condition_variable>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -30,7 +31,8 @@
 
   pid_t pid() const { return pid_; }
   void signal(int number) const;
-  // Whether the process has ended; `status` is then that of waitpid().
+  // Whether the process has ended; `status` is then that of waitpid(), and log() is complete. Waits for the
+  // rest of the output of a process that has just exited.
   bool ended(int& status);
   std::string log();  // everything it has written to standard error
   // The port number after this text, in a complete line of the log; 0: not logged yet.
@@ -43,8 +45,12 @@
   pid_t pid_ = -1;
   bool reaped_ = false;
   int status_ = 0;
+  void wait_for_end_of_output();
+
   std::mutex mutex_;
+  std::condition_variable output_ended_;
   std::string log_;
+  bool has_output_ended_ = false;
   std::thread reader_;
 };
 
