Execute the actions of one expired timer before the next one is handled

Cause: the module's deadline timer is due 5 ms before the attempt's. In an iteration later than that both were handled before any action was executed, so the attempt timed out before it could be cancelled.

Change: expired timers are handled by their due times, as before, each with its actions. Timers set meanwhile wait for the next iteration.

--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -38,8 +38,17 @@
   for (Event& event : events) handle(event);
 }
 
+// In a late iteration several timers are due. The actions of one are executed before the next one is handled,
+// so that the result is the same as if each had been handled on time. Timers that these set, even if already
+// due, are left for the next iteration.
 void Broker::handle_expired_timers() {
-  while (std::optional<Timer> timer = context_.timers.pop_expired(context_.now)) handle_expired(*timer);
+  std::vector<Timer> expired;
+  while (std::optional<Timer> timer = context_.timers.pop_expired(context_.now))
+    expired.push_back(*std::move(timer));
+  for (Timer& timer : expired) {
+    handle_expired(timer);
+    execute_actions();
+  }
 }
 
 void Broker::execute_actions() {
--- a/tests/core/attempt_handler_test.cpp
+++ b/tests/core/attempt_handler_test.cpp
@@ -59,6 +59,20 @@
   EXPECT_EQ(core.outcomes(Outcome::cancelled), 1u);
 }
 
+// outcomes.http: in an iteration later than the deadline's slack, the deadline and the attempt's timeout were
+// both due, and the attempt counted as a timeout of its replica.
+TEST(AttemptHandler, CountsAnAttemptAtItsDeadlineAsCancelledInALateIterationToo) {
+  BrokerFixture core;
+  core::RequestId id = 0;
+  const auto response = core.send(id);
+  core.ports.time += 6 * core::kSecond;  // past the deadline and the attempt's timeout, in one step
+  core.broker->run_iteration();
+  core.broker->run_iteration();
+  EXPECT_EQ(response->end, "late");
+  EXPECT_EQ(core.outcomes(Outcome::cancelled), 1u);
+  EXPECT_EQ(core.outcomes(Outcome::timeout), 0u);
+}
+
 // A replica may keep working after its client has disconnected: the module counts the attempt's capacity as
 // free only after the hold, or at once when the router itself shuts down.
 TEST(AttemptHandler, HoldsACancelledAttemptAsItsReplicasWork) {
