Count the bytes of a request that migrates in

Cause: its bytes were subtracted at its end and never added.

Failed before: RequestHandler.CountsTheBytesOfARequestThatMigratesIn (the sum of all bodies is at the end of a request of 1,000 bytes, and the next request is rejected).

--- a/src/core/stream_migration.cpp
+++ b/src/core/stream_migration.cpp
@@ -69,6 +69,7 @@
   const RequestId id = context_.requests.reserve(stream.request->trace_id);
   if (id == 0) return 0;
   RequestState& state = context_.requests.insert(id, stream.request, stream.response_writer);
+  context_.requests.count_body(*stream.request);
   state.received_at = stream.received_at;
   state.deadline = kNever;  // for the first event, which was already sent
   state.last_event_at = stream.last_event_at;
--- a/tests/core/request_handler_test.cpp
+++ b/tests/core/request_handler_test.cpp
@@ -82,5 +82,24 @@
   }
 }
 
+// The bytes of a request that migrated in were subtracted at its end and never added: the sum of all bodies
+// wrapped around, and requests were rejected for lack of memory.
+TEST(RequestHandler, CountsTheBytesOfARequestThatMigratesIn) {
+  BrokerFixture predecessor, successor;
+  core::RequestId id = 0;
+  predecessor.send(id, 1000);
+  predecessor.broker->on_attempt_events({id, 0}, "a");
+  predecessor.broker->run_iteration();
+  const auto streams = predecessor.broker->migratable_streams(core::Wire::http);
+  ASSERT_EQ(streams.size(), 1u);
+  const core::RequestId migrated = successor.broker->migrated_in(streams[0]);
+  EXPECT_EQ(successor.broker->body_bytes(), 1000u);
+  successor.broker->on_attempt_ended({migrated, 0}, Outcome::ok);
+  successor.broker->run_iteration();
+  EXPECT_EQ(successor.broker->body_bytes(), 0u);
+  const auto response = successor.send(id, 100);
+  EXPECT_EQ(response->end, "");
+}
+
 }  // namespace
 }  // namespace flintglade::tests
