Hand on no slot that no replica fills

What callers saw: with a fixed number of slots and no ready replica in the router's zone, a router that hands its state to its successor reads in front of its replica table.

Cause: fixed slots begin as -1, which append_ids used as an index.

--- a/src/policy/replica_picker.cpp
+++ b/src/policy/replica_picker.cpp
@@ -142,7 +142,10 @@
 }
 
 void ReplicaPicker::append_ids(const SlotTable& table, std::vector<std::uint64_t>& ids) const {
-  for (const int index : table.slots()) ids.push_back(replicas_[index].replica.id);
+  for (const int index : table.slots()) {
+    const bool is_filled = index >= 0;  // fixed slots are empty until a replica is ready
+    if (is_filled) ids.push_back(replicas_[index].replica.id);
+  }
 }
 
 }  // namespace flintglade::policy
--- a/tests/policy/balancer_test.cpp
+++ b/tests/policy/balancer_test.cpp
@@ -154,6 +154,20 @@
   EXPECT_GT(differ_in_fresh, compared / 4);
 }
 
+// Fixed slots that no replica fills were read in front of the replica table.
+TEST(HotRestart, HandsOnNoSlotThatIsNotFilled) {
+  Settings settings = test_settings();
+  settings.slots = 64;
+  ScriptedRouter router(settings);
+  router.list(ListKind::cached, {});
+  EXPECT_TRUE(router.balancer.learned().slots.empty());
+  auto replicas = ready_replicas(3);
+  for (Replica& replica : replicas) replica.zone = 1;
+  router.list(ListKind::cached, replicas);
+  EXPECT_EQ(router.balancer.learned().slots.size(), 64u);
+  EXPECT_TRUE(router.balancer.learned().own_zone_slots.empty());
+}
+
 // With other settings the same indices mean other classes: nothing is adopted.
 TEST(HotRestart, NothingIsAdoptedFromOtherSettings) {
   Settings two_classes = test_settings();
