Hand each slot on once at a hot restart

What callers saw: from the second upgrade in a row, sessions and prefixes went to other replicas; each restart doubled the slots.

Cause: adopt() kept the predecessor's slots in the learned state, and learned() appended the slot table's, which are the same.

Change: adopt() leaves them to the slot table.

Failed before: HotRestart.HandsEachSlotOnOnceInAChainOfRestarts (18 slots for 9 replicas after one restart, 36 after two, other placements).

--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -99,7 +99,6 @@
   for (const ReplicaState& state : modules_.replicas) {
     if (state.replica.health != Health::gone) out.replicas[state.replica.id] = state;
   }
-  // Slots that adopt() stored in the learned state are still there: these are appended.
   modules_.picker.append_slot_ids(out.slots);
   modules_.picker.append_own_zone_slot_ids(out.own_zone_slots);
   return out;
@@ -122,6 +121,8 @@
     known = statistics;
   }
   modules_.picker.restore_slots(from.slots, from.own_zone_slots);
+  from.slots.clear();  // from here on the picker has them
+  from.own_zone_slots.clear();
   learned = std::move(from);
   on_replicas_changed(now);
 }
--- a/tests/policy/balancer_test.cpp
+++ b/tests/policy/balancer_test.cpp
@@ -154,6 +154,20 @@
   EXPECT_GT(differ_in_fresh, compared / 4);
 }
 
+// The slots of the predecessor were handed on beside the successor's own: each restart doubled them, and the
+// keys moved to other replicas.
+TEST(HotRestart, HandsEachSlotOnOnceInAChainOfRestarts) {
+  constexpr int kReplicas = 9;
+  ScriptedRouter first(test_settings()), second(test_settings()), third(test_settings());
+  for (ScriptedRouter* router : {&first, &second, &third})
+    router->list(ListKind::cached, ready_replicas(kReplicas));
+  second.balancer.adopt(second.now, first.balancer.learned(), second);
+  EXPECT_EQ(second.balancer.learned().slots.size(), std::size_t{kReplicas});
+  third.balancer.adopt(third.now, second.balancer.learned(), third);
+  EXPECT_EQ(third.balancer.learned().slots, first.balancer.learned().slots);
+  EXPECT_EQ(placements(third), placements(first));
+}
+
 // Fixed slots that no replica fills were read in front of the replica table.
 TEST(HotRestart, HandsOnNoSlotThatIsNotFilled) {
   Settings settings = test_settings();
