Keep entries that a full list has unreadable, with several sources too

What callers saw: with several sources, a replica whose entry in a full list could not be read disappeared from service, though the log said that its previous entry stayed in force.

Cause: EndpointMerger::merge_list cleared all entries and did not read EndpointListUpdate::unreadable.

Failed before: unreadable_entries_of_a_full_list_stay_in_force in membership_test (the replica is gone).

--- a/src/endpoint_sources/endpoint_merger.cpp
+++ b/src/endpoint_sources/endpoint_merger.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 #include "config/labels.h"
@@ -165,7 +166,10 @@
   // which of the two lists is right.
   const bool version_went_back = !first && update.version < source.version;
   source.version = full ? update.version : std::max(source.version, update.version);
-  if (full) source.list_entries.clear();
+  if (full) {
+    const std::set<core::ReplicaId> unreadable(update.unreadable.begin(), update.unreadable.end());
+    std::erase_if(source.list_entries, [&](const auto& entry) { return !unreadable.contains(entry.first); });
+  }
   for (const core::Endpoint& entry : update.entries) {
     if (entry.replica.health == Health::gone) {
       source.list_entries.erase(entry.replica.id);
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -100,6 +100,20 @@
   CHECK(test.merger.merged_endpoints().at(address(1)).endpoint.replica.id == replica_id(address(1)));
 }
 
+// With several sources, an entry that a full list had unreadable was dropped: a replica in service
+// disappeared.
+void unreadable_entries_of_a_full_list_stay_in_force() {
+  TestMerger test;
+  test.merger.apply_list(test.now,
+                         list(ListKind::full, 1, {entry(1, 1, Health::ready), entry(2, 2, Health::ready)}));
+  EndpointListUpdate damaged = list(ListKind::full, 2, {entry(1, 1, Health::ready)});
+  damaged.unreadable = {2};
+  test.merger.apply_list(test.now, damaged);
+  CHECK(test.health(2) == Health::ready && test.clause(2) == Clause::reported);
+  test.merger.apply_list(test.now, list(ListKind::full, 3, {entry(1, 1, Health::ready)}));
+  CHECK(test.health(2) == Health::gone);
+}
+
 void the_worst_report_wins() {
   TestMerger test;
   test.merger.apply_dns_answer(test.now, "a", dns_answer({1, 2, 3, 4}));
@@ -522,6 +536,7 @@
 
 int main() {
   const std::function<void()> tests[] = {each_address_is_one_replica,
+                                         unreadable_entries_of_a_full_list_stay_in_force,
                                          the_worst_report_wins,
                                          a_list_whose_version_goes_back_is_delayed,
                                          a_mass_removal_needs_confirmation,
