Count no clock for a packet without a Unix time

No caller is known to have seen it. Cause: FleetClock::on_packet began an entry with received_at 0 and unix_offset -1, where -1 was meant for received_at ('none yet'): in the first minutes of the monotonic clock such a router counted among the clocks that a window has to wait for.

Change: the fields are initialized by name.

Failed before: FleetClockTest.APacketWithoutUnixTimeIsNoClock (1 clock).

--- a/src/shared/fleet_clock.cpp
+++ b/src/shared/fleet_clock.cpp
@@ -19,7 +19,7 @@
   if (clocks_.size() >= kMaxClocks && !clocks_.contains(router)) clocks_.erase(clocks_.begin());
   Clock& clock = clocks_[router];
   const Micros difference = now - sent;
-  if (clock.birth != birth) clock = {birth, difference, 0, -1};
+  if (clock.birth != birth) clock = {.birth = birth, .min_difference = difference};
   clock.min_difference = std::min(clock.min_difference, difference);
   return difference - clock.min_difference;
 }
--- a/tests/shared/fleet_clock_test.cpp
+++ b/tests/shared/fleet_clock_test.cpp
@@ -82,5 +82,13 @@
   EXPECT_EQ(error(kHour), kHour);
 }
 
+// A packet without a Unix time counted as a clock, with an offset of -1 us, while the monotonic clock was
+// young.
+TEST_F(FleetClockTest, APacketWithoutUnixTimeIsNoClock) {
+  clock_.on_packet(now_, name(0), 1, 0);
+  EXPECT_EQ(clock_.known_clocks(now_), 0u);
+  EXPECT_EQ(error(), 0);
+}
+
 }  // namespace
 }  // namespace flintglade::shared
