--- a/tests/fleet/process.cpp
+++ b/tests/fleet/process.cpp
@@ -32,6 +32,8 @@
     ::dup2(pipe[1], STDERR_FILENO);
     if (options.inherit == 3) ::fcntl(3, F_SETFD, 0);
     if (options.inherit >= 0 && options.inherit != 3) ::dup2(options.inherit, 3);
+    // Sockets of the test itself: a peer would not see them closed while the process has a copy.
+    ::close_range(options.inherit >= 0 ? 4 : 3, ~0U, 0);
     for (const auto& [name, value] : options.environment)
       value.empty() ? ::unsetenv(name.c_str()) : ::setenv(name.c_str(), value.c_str(), 1);
     std::vector<char*> arguments{const_cast<char*>(options.program.c_str())};
