--- a/src/commands/fleet.cpp
+++ b/src/commands/fleet.cpp
@@ -160,6 +160,12 @@
                 voter.votes() ? "" : " (being added)", voter.at() == status.leader_at() ? " (leads)" : "");
 }
 
+void print_differing_voters(const coordination::Status& status) {
+  for (const coordination::DifferingVoter& voter : status.differing_voters())
+    std::printf("voter %llu has ANOTHER LEASE TABLE, seen after entry %llu\n",
+                static_cast<unsigned long long>(voter.id()), static_cast<unsigned long long>(voter.index()));
+}
+
 int print_status(const FleetOptions& options, const std::function<void(const coordination::Status&)>& print) {
   coordination::Packet packet;
   const std::string error = fetch_status(options.at, packet);
@@ -195,6 +201,7 @@
     std::printf("leader: %s\n",
                 status.leader_at().empty() ? "none: the fleet's jobs rest" : status.leader_at().c_str());
     print_voters(status);
+    print_differing_voters(status);
     print_jobs(status);
     std::printf("%-20s %-12s %-22s %-8s\n", "ROUTER", "SITE", "AT", "STANDING");
     for (const coordination::MemberState& router : status.routers())
--- a/src/coordination/audit.cpp
+++ b/src/coordination/audit.cpp
@@ -116,6 +116,9 @@
     end_all("its process ended", process);
   } else if (event == "lease_granted") {
     add_grant(line, process.router);
+  } else if (event == "lease_tables_differ") {
+    violations_.push_back("the lease table of voter " + line["voter"] + " differs from that of " +
+                          process.router + ", seen after entry " + line["index"]);
   } else if (event == "lease_acquired") {
     begin_ownership(line, process);
   } else if (event == "lease_released") {
@@ -129,6 +132,10 @@
 
 void Audit::add_grant(const LogLine& line, const std::string& router) {
   const std::string lease = line["job"] + " " + line["number"];
+  const auto [job, is_first_of_number] = jobs_by_number_.emplace(line["number"], line["job"]);
+  if (!is_first_of_number && job->second != line["job"])
+    violations_.push_back("number " + line["number"] + " was granted for " + job->second + " and, at " +
+                          router + ", for " + line["job"]);
   const auto [it, is_first] = granted_.emplace(lease, line["to"]);
   if (is_first || it->second == line["to"]) return;
   violations_.push_back(lease + " was granted to " + it->second + " and, at " + router + ", to " +
--- a/src/coordination/audit.h
+++ b/src/coordination/audit.h
@@ -68,7 +68,9 @@
 
   std::vector<Ownership> ownerships_;
   std::vector<std::string> violations_;
-  std::map<std::string, std::string> granted_;  // "JOB NUMBER" -> the new owner, from the voters' logs
+  // From the voters' logs. A number is granted once in the whole lease table, whatever the job.
+  std::map<std::string, std::string> granted_;         // "JOB NUMBER" -> the new owner
+  std::map<std::string, std::string> jobs_by_number_;  // NUMBER -> the job
   std::uint64_t unparsed_lines_ = 0, stale_effects_ = 0;
 };
 
--- a/src/coordination/coordination_protocol.cpp
+++ b/src/coordination/coordination_protocol.cpp
@@ -104,6 +104,7 @@
   log_membership_changes();
   check_displacement();
   check_halt();
+  check_lease_tables();
   follow_leadership(now);
   propose_grants(now);
   copy_voter_state(now);
@@ -141,6 +142,18 @@
             {{"why", raft_node_->halt_reason()}, {"votes", "none until this router restarts"}}, true);
 }
 
+// A voter whose lease table differs has applied entries that others have not: one number may have two owners.
+void CoordinationProtocol::check_lease_tables() {
+  if (!raft_node_) return;
+  const auto& differing = raft_node_->table_checksums().differing_voters();
+  std::erase_if(logged_differing_voters_, [&](std::uint64_t voter) { return !differing.contains(voter); });
+  for (const auto& [voter, index] : differing) {
+    if (!logged_differing_voters_.insert(voter).second) continue;
+    log_event("lease_tables_differ", {{"voter", std::to_string(voter)}, {"index", std::to_string(index)}},
+              true);
+  }
+}
+
 void CoordinationProtocol::follow_leadership(Micros now) {
   const bool leads = is_leader();
   if (leads == was_leader_) return;
--- a/src/coordination/coordination_protocol.h
+++ b/src/coordination/coordination_protocol.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -150,6 +151,7 @@
   void log_membership_changes();
   void check_displacement();
   void check_halt();
+  void check_lease_tables();
   void follow_leadership(Micros now);
   void propose_grants(Micros now);
   void copy_voter_state(Micros now);
@@ -211,6 +213,7 @@
   std::vector<JobNotification> notifications_;
   bool was_leader_ = false, is_transferring_leadership_ = false, is_displaced_ = false;
   bool is_halt_logged_ = false;
+  std::set<std::uint64_t> logged_differing_voters_;
   std::uint64_t effects_sent_ = 0, effects_admitted_ = 0, effects_without_lease_ = 0;
   std::function<void(Micros, Status&)> extend_status_;
 };
--- a/src/coordination/coordination_status.cpp
+++ b/src/coordination/coordination_status.cpp
@@ -12,6 +12,12 @@
   out.set_term(node.term());
   out.set_index(node.applied_index());
   out.set_last_index(node.last_index());
+  out.set_table_checksum(node.table_checksums().latest().checksum);
+  for (const auto& [voter, index] : node.table_checksums().differing_voters()) {
+    DifferingVoter& differing = *out.add_differing_voters();
+    differing.set_id(voter);
+    differing.set_index(index);
+  }
 }
 
 void add_membership_counters(const membership::Counters& from, Status& out) {
--- a/src/coordination/raft_node.cpp
+++ b/src/coordination/raft_node.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "coordination/framed_bytes.h"
 #include "coordination/raft_message_codec.h"
 
 namespace flintglade::coordination {
@@ -24,7 +25,13 @@
     : address_(std::move(address)),
       times_(times),
       on_apply_(std::move(on_apply)),
-      io_(address_, std::move(state), storage, seed, std::move(send), [this] { next_tick_ = core::kNever; }) {
+      io_(
+          address_, std::move(state), storage, seed,
+          [this, send = std::move(send)](const std::string& to, const Raft& message) {
+            send(to,
+                 message.type() == RAFT_IO_APPEND_ENTRIES_RESULT ? with_table_checksum(message) : message);
+          },
+          [this] { next_tick_ = core::kNever; }) {
   fsm_.version = 1;
   fsm_.data = this;
   fsm_.apply = apply_command;
@@ -72,6 +79,7 @@
   Applied applied;
   if (command.ParseFromArray(buffer->base, static_cast<int>(buffer->len)))
     applied = node.lease_state_machine_.apply(command);
+  node.record_table_checksum(node.raft_.last_applied + 1);
   // The library calls on_proposal_done next, with this pointer.
   static thread_local Applied last_applied;
   last_applied = applied;
@@ -95,6 +103,18 @@
   return parsed ? 0 : RAFT_MALFORMED;
 }
 
+void RaftNode::record_table_checksum(std::uint64_t index) {
+  table_checksums_.record({index, crc32_of(lease_state_machine_.save())});
+}
+
+Raft RaftNode::with_table_checksum(const Raft& message) const {
+  Raft out = message;
+  const TableChecksum latest = table_checksums_.latest();
+  out.set_applied_index(latest.index);
+  out.set_table_checksum(latest.checksum);
+  return out;
+}
+
 bool RaftNode::is_leader() const { return !is_halted() && is_started_ && raft_.state == RAFT_LEADER; }
 
 std::string RaftNode::role() const {
@@ -210,6 +230,8 @@
   }
   std::optional<raft_message> decoded = decode_raft_message(message, sender_address);
   if (!decoded) return;
+  if (message.applied_index() > 0)
+    table_checksums_.compare(message.sender(), {message.applied_index(), message.table_checksum()});
   io_.receive(*decoded);
 }
 
--- a/src/coordination/raft_node.h
+++ b/src/coordination/raft_node.h
@@ -20,6 +20,7 @@
 #include "coordination/lease_state_machine.h"
 #include "coordination/raft_library_io.h"
 #include "coordination/raft_storage.h"
+#include "coordination/table_checksums.h"
 #include "core/ports.h"
 
 namespace flintglade::coordination {
@@ -74,6 +75,8 @@
   std::uint64_t last_index() const { return io_.state().last_index(); }
   std::vector<Voter> voters() const;
   const LeaseStateMachine& lease_state_machine() const { return lease_state_machine_; }
+  // Of this voter's lease table, and how those of other voters compare with it.
+  const TableChecksums& table_checksums() const { return table_checksums_; }
 
   // The initial content of a new file: the fleet's voters, or none for a voter that is added to them later.
   static PersistentState initial_state(const std::string& fleet, std::uint64_t id,
@@ -102,12 +105,16 @@
   static void on_voter_change_done(raft_change* request, int error);
 
   void set_time(Micros now) { io_.set_time(now); }
+  void record_table_checksum(std::uint64_t index);
+  // The message with this voter's newest table checksum if it is an acknowledgement.
+  Raft with_table_checksum(const Raft& message) const;
   std::string address_of(std::uint64_t id) const;
 
   std::string address_;
   RaftTimes times_;
   OnApply on_apply_;
   LeaseStateMachine lease_state_machine_;
+  TableChecksums table_checksums_;
   RaftLibraryIo io_;
   struct raft raft_ {};
   raft_fsm fsm_{};
--- a/tests/coordination/audit_test.cpp
+++ b/tests/coordination/audit_test.cpp
@@ -55,6 +55,24 @@
                                                           "j number 1 ran at b and was granted to a"}));
 }
 
+// Issue 45: number 3 was granted for one job at a voter and for another one at another voter.
+TEST_P(AuditOfVersion, ReportsANumberThatWasGrantedForTwoJobs) {
+  const EventNames& names = GetParam();
+  Audit audit;
+  audit.add_log("a", line(1, names.granted, "job=bank number=3 to=r4"));
+  audit.add_log("b", line(2, names.granted, "job=job0 number=3 to=r2"));
+  EXPECT_EQ(audit.violations(),
+            (std::vector<std::string>{"number 3 was granted for bank and, at b, for job0"}));
+}
+
+TEST(Audit, ReportsVotersWhoseLeaseTablesDiffer) {
+  Audit audit;
+  audit.add_log("a", line(1, "lease_tables_differ", "voter=3 index=19"));
+  EXPECT_EQ(
+      audit.violations(),
+      (std::vector<std::string>{"the lease table of voter 3 differs from that of a, seen after entry 19"}));
+}
+
 TEST_P(AuditOfVersion, ReportsANumberThatWasGrantedTwice) {
   const EventNames& names = GetParam();
   Audit audit;
--- a/tests/coordination/raft_node_test.cpp
+++ b/tests/coordination/raft_node_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -187,6 +188,34 @@
   Micros now_ = 0;
 };
 
+// Issue 45: voters whose lease tables had parted went on without anybody knowing. Here the second voter has
+// another entry at the same index and of the same term.
+TEST(RaftNode, FindsAVoterWhoseLeaseTableDiffers) {
+  TestVoter leader(1, {grant_entry(2, 2, "a")}), same(3, {grant_entry(2, 2, "a")});
+  TestVoter parted(2, {grant_entry(2, 2, "b")});
+  Micros now = 0;
+  const auto exchange_with = [&](TestVoter& other) {
+    for (Raft message = leader.take_message_to(other.node.id()); message.type() != 0;
+         message = leader.take_message_to(other.node.id()))
+      other.node.receive(now, message);
+    for (Raft message = other.take_message_to(1); message.type() != 0; message = other.take_message_to(1))
+      leader.node.receive(now, message);
+  };
+  for (int i = 0; i < 2 * kTicksOfLongestElectionTimeout; ++i) {
+    now += kTick;
+    leader.node.tick(now);
+    exchange_with(same);
+    exchange_with(parted);
+    if (leader.node.is_leader() && leader.node.last_index() == 2)
+      leader.node.propose(now, Command{}, [](const absl::Status&, const Applied&) {});
+  }
+  ASSERT_TRUE(leader.node.is_leader());
+  ASSERT_EQ(parted.node.applied_index(), leader.node.applied_index());
+  const std::map<std::uint64_t, std::uint64_t>& differing = leader.node.table_checksums().differing_voters();
+  ASSERT_EQ(differing.size(), 1u);
+  EXPECT_EQ(differing.begin()->first, parted.node.id());
+}
+
 // Issue 45: a leader counted the unreplicated entry of another voter as a replica of its own one, committed
 // it, and one fencing number had two owners.
 TEST_F(RaftNodes, ALeaderDoesNotCountAnotherVotersOwnEntryAsAReplica) {
--- a/tests/fleet/sim.cpp
+++ b/tests/fleet/sim.cpp
@@ -222,6 +222,9 @@
     }
     for (const coordination::Event& event : routers_[i].protocol->take_events()) {
       result_.refused += event.name == "stale_fencing_token";
+      if (event.name == "lease_tables_differ")
+        report_violation(name(i) + " has another lease table than voter " + event.fields[0].second +
+                         " after entry " + event.fields[1].second);
       if (event.name != "lease_granted") continue;
       // Each process of a voter applies each grant once, and no number is granted to two owners.
       const std::string owner = event.fields[0].second + " " + event.fields[2].second;
