Soak: ports of its own for routers, and the time of SIGKILL before it is sent

Change: routers get ports below the range from which the system picks; the time is taken before the signal is sent. No rule and no bound is changed.

--- a/tests/fleet/soak/soak_test.cpp
+++ b/tests/fleet/soak/soak_test.cpp
@@ -51,6 +51,8 @@
 // The protocol: no SIGHUP in a process's first second.
 constexpr int kMinServingMs = 1000, kMaxServingMs = 1800;
 constexpr int kReadyTimeoutMs = 6000;
+// Ports of the routers; the step has no common divisor with their number.
+constexpr int kFirstPort = 12'000, kPorts = 16'000, kPortStep = 997;
 // Longer than idle connections to replicas stay open (`conn_idle` of the settings).
 constexpr int kIdleTimeoutMs = 9000;
 constexpr std::size_t kDescriptorTolerance = 4;
@@ -95,10 +97,14 @@
         ledger_(ledger),
         clock_(std::move(clock)),
         random_(options.seed * kRouters + index),
-        acceptor_(io_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+        acceptor_(bind_acceptor(io_, options.seed * kRouters + index)) {
     std::filesystem::create_directory(folder_);
     port_ = acceptor_.local_endpoint().port();
-    if (!options.upgrades()) acceptor_.close();  // the router listens itself
+    if (options.upgrades()) {
+      acceptor_.listen();
+    } else {
+      acceptor_.close();  // the router listens itself
+    }
   }
 
   unsigned short port() const { return port_; }
@@ -130,6 +136,20 @@
   std::string log() { return process_ == nullptr ? "" : process_->log(); }
 
  private:
+  // Below the ports from which the system picks: no other socket takes the port while its router is down.
+  static tcp::acceptor bind_acceptor(boost::asio::io_context& io, std::uint64_t number) {
+    tcp::acceptor acceptor(io, tcp::v4());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    for (int tries = 0; tries < kPorts; ++tries) {
+      const auto port = static_cast<unsigned short>(kFirstPort + (number + tries * kPortStep) % kPorts);
+      boost::system::error_code ec;
+      acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, ec);
+      if (!ec) return acceptor;
+    }
+    CHECK(false);
+    return acceptor;
+  }
+
   int draw(int from, int to) { return std::uniform_int_distribution<int>(from, to)(random_); }
   void report(const std::string& text) {
     ledger_.add_violation(clock_(), "router " + std::to_string(index_) + ": " + text);
@@ -215,8 +235,8 @@
     int status = 0;
     while (!process.ended(status)) {
       if (clock_() >= kill_at) {
+        shutdown.killed_at = clock_();  // before its clients can see it
         process.signal(SIGKILL);
-        shutdown.killed_at = clock_();
         break;
       }
       send_further_signal(process);
