Keep the signal handlers until the end of the process

What callers saw: a process that had shut down in order was reported as killed by SIGTERM where a second one came in its last milliseconds.

Cause: asio restores a signal's default action with the last signal_set that has it, and serve destroys its own before the rest is torn down.

Change: a second signal_set with the same signals is never destroyed.

--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -147,14 +147,27 @@
   }
 }
 
+void add_handled_signals(boost::asio::signal_set& signals) {
+  for (const int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) signals.add(signal);
+}
+
+// Asio restores a signal's default action, which ends the process, with the last signal_set that has it. This
+// one is never destroyed: a signal that comes while the process exits has no effect.
+void keep_signal_handlers_until_exit() {
+  static auto* const io = new boost::asio::io_context;
+  static auto* const signals = new boost::asio::signal_set(*io);
+  add_handled_signals(*signals);
+}
+
 }  // namespace
 
 int serve(const ServeOptions& options) {
   boost::asio::io_context io(1);
   // The handlers are installed first of all: a signal that arrives during the start is handled after it,
   // whereas the default action of SIGHUP would end the process.
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGUSR1);
-  signals.add(SIGHUP);
+  boost::asio::signal_set signals(io);
+  add_handled_signals(signals);
+  keep_signal_handlers_until_exit();
   config::Config config;
   deploy::OperatorFile file;
   std::string error = config::load(config);
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -439,6 +439,24 @@
   CHECK(p->log().find("event=process_slot_unavailable") != std::string::npos);
 }
 
+// A SIGTERM that came while the process was about to exit ended it by the signal's default action, after the
+// handlers were gone.
+void signals_until_the_exit(int rounds, std::uint64_t) {
+  for (int i = 0; i < rounds; ++i) {
+    Platform platform;
+    auto process = platform.start_and_wait_ready();
+    process->signal(SIGTERM);
+    int status = -1;
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(6);
+    while (!process->ended(status)) {  // without a pause: the exit takes some milliseconds
+      CHECK(std::chrono::steady_clock::now() < deadline);
+      if (process->log().find("event=stopped") == std::string::npos) continue;
+      for (const int signal : {SIGTERM, SIGUSR1, SIGHUP, SIGINT}) process->signal(signal);
+    }
+    CHECK(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -458,7 +476,8 @@
       {"without_discovery", without_discovery},
       {"answers_move", answers_move},
       {"crowd", crowd},
-      {"odd_starts", odd_starts}};
+      {"odd_starts", odd_starts},
+      {"signals_until_the_exit", signals_until_the_exit}};
   const auto it = cases.find(argv[2]);
   if (it == cases.end()) return 2;
   it->second(n, seed);
