--- a/tests/fleet/soak/client.cpp
+++ b/tests/fleet/soak/client.cpp
@@ -135,7 +135,7 @@
   void abandon() {
     close();
     request_.end = RequestEnd::left;
-    owner_.ledger_.on_end(id_, request_, owner_.clock_());
+    owner_.history_.on_end(id_, request_, owner_.clock_());
     next();
   }
 
@@ -157,12 +157,12 @@
              std::to_string(body.size()) + "\r\n\r\n" + body;
     // Known before its first byte is written, since a replica may have it before the write has returned.
     request_.written_at = owner_.clock_();
-    owner_.ledger_.on_request(id_, request_);
+    owner_.history_.on_request(id_, request_);
   }
 
   void on_written() {
     ++owner_.open_requests_;
-    owner_.ledger_.on_written(id_, owner_.clock_());
+    owner_.history_.on_written(id_, owner_.clock_());
     is_pending_ = true;
     const std::uint64_t number = ++sent_;
     parser_.emplace();
@@ -224,7 +224,7 @@
     give_up_timer_.cancel();
     --owner_.open_requests_;
     request_.end = end;
-    owner_.ledger_.on_end(id_, request_, owner_.clock_());
+    owner_.history_.on_end(id_, request_, owner_.clock_());
     next();
   }
 
@@ -240,9 +240,9 @@
   bool is_open_ = false, is_pending_ = false;
 };
 
-SoakClients::SoakClients(asio::io_context& io, Ledger& ledger, const Front& front,
+SoakClients::SoakClients(asio::io_context& io, RequestHistory& history, const Front& front,
                          std::function<Micros()> clock, std::uint64_t seed, PlantedFault planted)
-    : io_(io), ledger_(ledger), front_(front), clock_(std::move(clock)), random_(seed), planted_(planted) {}
+    : io_(io), history_(history), front_(front), clock_(std::move(clock)), random_(seed), planted_(planted) {}
 SoakClients::~SoakClients() = default;
 
 void SoakClients::start(int clients) {
--- a/tests/fleet/soak/client.h
+++ b/tests/fleet/soak/client.h
@@ -1,6 +1,6 @@
 // Clients of a soak run over HTTP. Each sends one request at a time and keeps its connection for as long as
 // the router leaves it open; its behaviour is drawn from the run's seed. It reports each request to the
-// ledger.
+// history.
 #pragma once
 
 #include <boost/asio.hpp>
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "fleet/soak/ledger.h"
+#include "fleet/soak/request_history.h"
 
 namespace flintglade::tests::soak {
 
@@ -35,8 +35,8 @@
 class SoakClients {
  public:
   // All are borrowed.
-  SoakClients(boost::asio::io_context& io, Ledger& ledger, const Front& front, std::function<Micros()> clock,
-              std::uint64_t seed, PlantedFault planted);
+  SoakClients(boost::asio::io_context& io, RequestHistory& history, const Front& front,
+              std::function<Micros()> clock, std::uint64_t seed, PlantedFault planted);
   ~SoakClients();
   void start(int clients);
   // No client sends a further request.
@@ -49,7 +49,7 @@
   class Client;
 
   boost::asio::io_context& io_;
-  Ledger& ledger_;
+  RequestHistory& history_;
   const Front& front_;
   std::function<Micros()> clock_;
   std::mt19937_64 random_;
--- a/tests/fleet/soak/replica.cpp
+++ b/tests/fleet/soak/replica.cpp
@@ -46,7 +46,7 @@
   void begin() {
     plan_ = owner_.draw_plan();
     const auto id = request_["X-Trace-Id"];
-    serial_ = owner_.ledger_.on_attempt({id.data(), id.size()}, plan_, owner_.clock_());
+    serial_ = owner_.history_.on_attempt({id.data(), id.size()}, plan_, owner_.clock_());
     const bool is_long = draw(1, kOneLongStreamIn) == 1;
     events_ = is_long ? draw(kShortEvents, kLongEvents) : draw(1, kShortEvents);
     gap_ms_ = is_long ? kLongGapMs : draw(0, kMaxShortGapMs);
@@ -113,11 +113,11 @@
   int events_ = 0, gap_ms_ = 0, next_ = 0;
 };
 
-SoakReplica::SoakReplica(asio::io_context& io, Ledger& ledger, std::function<Micros()> clock,
+SoakReplica::SoakReplica(asio::io_context& io, RequestHistory& history, std::function<Micros()> clock,
                          std::uint64_t seed, ReplicaFaults faults)
     : io_(io),
       acceptor_(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-      ledger_(ledger),
+      history_(history),
       clock_(std::move(clock)),
       random_(seed),
       faults_(faults) {
--- a/tests/fleet/soak/replica.h
+++ b/tests/fleet/soak/replica.h
@@ -1,5 +1,5 @@
 // A model replica of a soak run over HTTP. What it does with an attempt is drawn from the run's seed; it
-// reports each attempt to the ledger.
+// reports each attempt to the history.
 #pragma once
 
 #include <boost/asio.hpp>
@@ -7,7 +7,7 @@
 #include <memory>
 #include <random>
 
-#include "fleet/soak/ledger.h"
+#include "fleet/soak/request_history.h"
 
 namespace flintglade::tests::soak {
 
@@ -18,9 +18,9 @@
 
 class SoakReplica {
  public:
-  // `ledger` is borrowed; `clock` gives the time since the start of the run.
-  SoakReplica(boost::asio::io_context& io, Ledger& ledger, std::function<Micros()> clock, std::uint64_t seed,
-              ReplicaFaults faults);
+  // `history` is borrowed; `clock` gives the time since the start of the run.
+  SoakReplica(boost::asio::io_context& io, RequestHistory& history, std::function<Micros()> clock,
+              std::uint64_t seed, ReplicaFaults faults);
   unsigned short port() const { return acceptor_.local_endpoint().port(); }
 
  private:
@@ -30,7 +30,7 @@
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  Ledger& ledger_;
+  RequestHistory& history_;
   std::function<Micros()> clock_;
   std::mt19937_64 random_;
   ReplicaFaults faults_;
--- a/tests/fleet/soak/ledger.cpp
+++ b/tests/fleet/soak/request_history.cpp
@@ -1,4 +1,4 @@
-#include "fleet/soak/ledger.h"
+#include "fleet/soak/request_history.h"
 
 #include <algorithm>
 
@@ -39,17 +39,17 @@
 
 }  // namespace
 
-void Ledger::on_request(const std::string& id, const Request& request) {
+void RequestHistory::on_request(const std::string& id, const Request& request) {
   const std::lock_guard lock(mutex_);
   requests_[id] = request;
 }
 
-void Ledger::on_written(const std::string& id, Micros now) {
+void RequestHistory::on_written(const std::string& id, Micros now) {
   const std::lock_guard lock(mutex_);
   requests_[id].written_at = now;
 }
 
-void Ledger::on_end(const std::string& id, const Request& ended, Micros now) {
+void RequestHistory::on_end(const std::string& id, const Request& ended, Micros now) {
   const std::lock_guard lock(mutex_);
   Request& request = requests_[id];
   request.end = ended.end;
@@ -59,7 +59,7 @@
   request.ended_at = now;
 }
 
-std::uint32_t Ledger::on_attempt(const std::string& id, AttemptPlan plan, Micros now) {
+std::uint32_t RequestHistory::on_attempt(const std::string& id, AttemptPlan plan, Micros now) {
   const std::lock_guard lock(mutex_);
   const auto it = requests_.find(id);
   if (it == requests_.end()) {
@@ -70,17 +70,17 @@
   return attempts_;
 }
 
-void Ledger::on_shutdown(const Shutdown& shutdown) {
+void RequestHistory::on_shutdown(const Shutdown& shutdown) {
   const std::lock_guard lock(mutex_);
   shutdowns_.push_back(shutdown);
 }
 
-void Ledger::add_violation(Micros now, const std::string& text) {
+void RequestHistory::add_violation(Micros now, const std::string& text) {
   const std::lock_guard lock(mutex_);
   other_violations_.push_back("at " + milliseconds(now) + ": " + text);
 }
 
-std::vector<std::string> Ledger::violations() const {
+std::vector<std::string> RequestHistory::violations() const {
   const std::lock_guard lock(mutex_);
   std::vector<std::string> out = other_violations_;
   for (const auto& [id, request] : requests_) {
@@ -90,36 +90,36 @@
   return out;
 }
 
-std::size_t Ledger::attempts() const {
+std::size_t RequestHistory::attempts() const {
   const std::lock_guard lock(mutex_);
   return attempts_;
 }
 
-std::size_t Ledger::shutdowns() const {
+std::size_t RequestHistory::shutdowns() const {
   const std::lock_guard lock(mutex_);
   return shutdowns_.size();
 }
 
-std::size_t Ledger::kills() const {
+std::size_t RequestHistory::kills() const {
   const std::lock_guard lock(mutex_);
   return static_cast<std::size_t>(
       std::count_if(shutdowns_.begin(), shutdowns_.end(), [](const Shutdown& s) { return s.killed_at > 0; }));
 }
 
-std::vector<std::size_t> Ledger::ends() const {
+std::vector<std::size_t> RequestHistory::ends() const {
   const std::lock_guard lock(mutex_);
   std::vector<std::size_t> out(kRequestEnds);
   for (const auto& [id, request] : requests_) ++out[static_cast<std::size_t>(request.end)];
   return out;
 }
 
-std::string Ledger::judge(const Request& request) const {
+std::string RequestHistory::judge(const Request& request) const {
   if (!request.fault.empty()) return request.fault;
   const std::string rule = judge_end(request);
   return rule.empty() ? judge_attempts(request) : rule;
 }
 
-std::string Ledger::judge_end(const Request& request) const {
+std::string RequestHistory::judge_end(const Request& request) const {
   const Shutdown* kill = find_kill(request);
   switch (request.end) {
     case RequestEnd::served: {
@@ -151,7 +151,7 @@
   return "";
 }
 
-std::string Ledger::judge_attempts(const Request& request) const {
+std::string RequestHistory::judge_attempts(const Request& request) const {
   for (std::size_t i = 0; i < request.attempts.size(); ++i) {
     if (request.end != RequestEnd::pending && request.attempts[i].received_at > request.ended_at + kTolerance)
       return "an attempt began after its client had left or had its response";
@@ -161,7 +161,7 @@
   return "";
 }
 
-const Shutdown* Ledger::find_kill(const Request& request) const {
+const Shutdown* RequestHistory::find_kill(const Request& request) const {
   for (const Shutdown& shutdown : shutdowns_) {
     if (shutdown.router == request.router && shutdown.killed_at > 0 &&
         request.ended_at >= shutdown.killed_at && request.ended_at <= shutdown.killed_at + kSeenAfterKill)
--- a/tests/fleet/soak/ledger.h
+++ b/tests/fleet/soak/request_history.h
@@ -65,7 +65,7 @@
   Micros killed_at = 0;      // SIGKILL; 0: the process ended by itself
 };
 
-class Ledger {
+class RequestHistory {
  public:
   void on_request(const std::string& id, const Request& request);
   void on_written(const std::string& id, Micros now);
--- a/tests/fleet/soak/soak_test.cpp
+++ b/tests/fleet/soak/soak_test.cpp
@@ -3,9 +3,9 @@
 // Each run starts two routers over stand-in replicas, discovery and clients on loopback, and shuts them down
 // and starts them again under load. Clients use open connections until SIGKILL, which comes at the earliest
 // time that the platform's protocol allows; signals come in series; in every second run a crowd of idle and
-// half-written connections is open beside. Ledger has the rules. Each violation is printed with its seed and
-// time, and the exit status is 1 if there is any. FAULT (cut_response, drop_request) is simulated at the
-// clients' sockets to verify the rules themselves: the exit status is then 1 if no run detects it.
+// half-written connections is open beside. RequestHistory has the rules. Each violation is printed with its
+// seed and time, and the exit status is 1 if there is any. FAULT (cut_response, drop_request) is simulated at
+// the clients' sockets to verify the rules themselves: the exit status is then 1 if no run detects it.
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -28,8 +28,8 @@
 #include "fleet/load.h"
 #include "fleet/process.h"
 #include "fleet/soak/client.h"
-#include "fleet/soak/ledger.h"
 #include "fleet/soak/replica.h"
+#include "fleet/soak/request_history.h"
 #include "settings.h"
 #include "stand_ins.h"
 
@@ -89,12 +89,12 @@
 class SoakRouter {
  public:
   SoakRouter(const RunOptions& options, std::size_t index, const std::string& folder,
-             unsigned short discovery, Ledger& ledger, std::function<Micros()> clock)
+             unsigned short discovery, RequestHistory& history, std::function<Micros()> clock)
       : options_(options),
         index_(index),
         folder_(folder + "/n" + std::to_string(index)),
         discovery_(discovery),
-        ledger_(ledger),
+        history_(history),
         clock_(std::move(clock)),
         random_(options.seed * kRouters + index),
         acceptor_(bind_acceptor(io_, options.seed * kRouters + index)) {
@@ -152,7 +152,7 @@
 
   int draw(int from, int to) { return std::uniform_int_distribution<int>(from, to)(random_); }
   void report(const std::string& text) {
-    ledger_.add_violation(clock_(), "router " + std::to_string(index_) + ": " + text);
+    history_.add_violation(clock_(), "router " + std::to_string(index_) + ": " + text);
   }
 
   std::unique_ptr<Process> start_process() {
@@ -242,7 +242,7 @@
       send_further_signal(process);
       pause(1);
     }
-    ledger_.on_shutdown(shutdown);
+    history_.on_shutdown(shutdown);
     if (shutdown.killed_at > 0) {
       within(kReadyTimeoutMs, [&] { return process.ended(status); });
     } else if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) {
@@ -262,7 +262,7 @@
   std::size_t index_;
   std::string folder_;
   unsigned short discovery_;
-  Ledger& ledger_;
+  RequestHistory& history_;
   std::function<Micros()> clock_;
   std::mt19937_64 random_;
   boost::asio::io_context io_;
@@ -285,17 +285,17 @@
                                                                        start)
               .count();
         }),
-        clients_(client_io_.io, ledger_, *this, clock_, options.seed, options.planted) {
+        clients_(client_io_.io, history_, *this, clock_, options.seed, options.planted) {
     char name[] = "/tmp/flintglade-soak-XXXXXX";
     CHECK(::mkdtemp(name) != nullptr);
     folder_ = name;
     for (std::size_t i = 0; i < kReplicas; ++i)
       replicas_.push_back(
-          std::make_unique<SoakReplica>(replica_io_.io, ledger_, clock_, random_(), faults_of(i)));
+          std::make_unique<SoakReplica>(replica_io_.io, history_, clock_, random_(), faults_of(i)));
     list_replicas(kReplicas);
     for (std::size_t i = 0; i < kRouters; ++i)
       routers_.push_back(
-          std::make_unique<SoakRouter>(options_, i, folder_, discovery_.port(), ledger_, clock_));
+          std::make_unique<SoakRouter>(options_, i, folder_, discovery_.port(), history_, clock_));
   }
   ~Run() override {
     client_io_.stop();
@@ -333,9 +333,9 @@
     crowd_.clear();
     clients_have_left.count_down();
     for (std::thread& thread : threads) thread.join();
-    return ledger_.violations();
+    return history_.violations();
   }
-  const Ledger& ledger() const { return ledger_; }
+  const RequestHistory& history() const { return history_; }
 
  private:
   // In two of three runs the first replica is a bad one.
@@ -399,7 +399,7 @@
   std::mt19937_64 random_;
   std::function<Micros()> clock_;
   std::string folder_;
-  Ledger ledger_;
+  RequestHistory history_;
   Discovery discovery_;
   std::vector<std::unique_ptr<SoakReplica>> replicas_;
   std::vector<std::unique_ptr<SoakRouter>> routers_;
@@ -410,17 +410,18 @@
 // The results of all runs, printed as they come.
 class Results {
  public:
-  void add(const RunOptions& options, const Ledger& ledger, const std::vector<std::string>& violations) {
+  void add(const RunOptions& options, const RequestHistory& history,
+           const std::vector<std::string>& violations) {
     const std::lock_guard lock(mutex_);
-    const std::vector<std::size_t> ends = ledger.ends();
+    const std::vector<std::size_t> ends = history.ends();
     std::printf(
         "seed %llu%s%s: served %zu, refused %zu, failed %zu, broken %zu, unanswered %zu, left %zu, "
         "attempts %zu, killed %zu of %zu, violations %zu\n",
         static_cast<unsigned long long>(options.seed), options.upgrades() ? " upgrades" : "",
         options.has_crowd() ? " crowd" : "", count(ends, RequestEnd::served),
         count(ends, RequestEnd::refused), count(ends, RequestEnd::failed), count(ends, RequestEnd::broken),
-        count(ends, RequestEnd::unanswered), count(ends, RequestEnd::left), ledger.attempts(), ledger.kills(),
-        ledger.shutdowns(), violations.size());
+        count(ends, RequestEnd::unanswered), count(ends, RequestEnd::left), history.attempts(),
+        history.kills(), history.shutdowns(), violations.size());
     for (const std::string& violation : violations)
       std::printf("VIOLATION seed %llu: %s\n", static_cast<unsigned long long>(options.seed),
                   violation.c_str());
@@ -454,7 +455,7 @@
         const RunOptions options{program, first_seed + static_cast<std::uint64_t>(run), planted};
         Run soak(options);
         const std::vector<std::string> violations = soak.play();
-        results.add(options, soak.ledger(), violations);
+        results.add(options, soak.history(), violations);
       }
     });
   }
