Review, case 3: a crowd of unfinished requests takes the router over its memory limit

Cause: unfinished bodies count towards no budget, and only the descriptors limit how many clients may each hold one.

Change: review/3, and what the stand-ins need for it and for the next case. No code of the program is changed.

--- a/review/stand_ins.h
+++ b/review/stand_ins.h
@@ -16,7 +16,9 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
+#include <condition_variable>
 #include <cstdarg>
 #include <cstdio>
 #include <cstdlib>
@@ -77,12 +79,17 @@
   return address;
 }
 
-// Listens on a free loopback port.
+// Listens on this loopback port; on a free one if it is 0, which it sets.
 inline int listen_loopback(int& port, int backlog = 1024) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = loopback(0);
+  const int on = 1;
+  ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in address = loopback(port);
   socklen_t size = sizeof address;
-  if (::bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 || ::listen(fd, backlog) != 0) return -1;
+  if (::bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 || ::listen(fd, backlog) != 0) {
+    ::close(fd);
+    return -1;
+  }
   ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
   port = ntohs(address.sin_port);
   return fd;
@@ -174,7 +181,8 @@
   return size + bytes + "\r\n";
 }
 
-// Accepts connections and serves each in a thread of its own until stopped.
+// Accepts connections and serves each in a thread of its own until stopped. It can start again, on the same
+// port.
 class Service {
  public:
   Service() = default;
@@ -204,8 +212,8 @@
     stopping_ = true;
     stop_accepting();
     close_connections();
-    for (std::thread& thread : threads_) thread.join();
-    threads_.clear();
+    std::unique_lock lock(mutex_);
+    all_closed_.wait(lock, [this] { return open_.empty(); });
   }
 
  protected:
@@ -216,24 +224,26 @@
   void accept() {
     for (;;) {
       const int fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+      if (fd < 0 && errno == ECONNABORTED) continue;
       if (fd < 0) return;
       const int on = 1;
       ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
       const std::lock_guard lock(mutex_);
       open_.insert(fd);
-      threads_.emplace_back([this, fd] {
+      std::thread([this, fd] {
         serve(fd);
         const std::lock_guard inner(mutex_);
         open_.erase(fd);
         ::close(fd);
-      });
+        all_closed_.notify_all();
+      }).detach();
     }
   }
   int listener_ = -1, port_ = 0;
   std::atomic<bool> stopping_ = false;
   std::thread acceptor_;
-  std::list<std::thread> threads_;
   std::set<int> open_;
+  std::condition_variable all_closed_;
   std::mutex mutex_;
 };
 
@@ -275,6 +285,9 @@
     record_.line("discovery %s: rev %d, %s is %s", name_.c_str(), rev_, entry.uid.c_str(),
                  entry.state.c_str());
   }
+  // How long a call waits for its answer.
+  double answers_after_s = 0;
+  int calls() const { return calls_; }
   // When the newest change of this replica was last written to a watch; negative: never.
   double told_at(const std::string& uid) const {
     const std::lock_guard lock(state_);
@@ -292,7 +305,9 @@
     const bool watch = head.first_line.find("stream=1") != std::string::npos;
     const std::size_t index_at = head.first_line.find("index=");
     int known = index_at == std::string::npos ? -1 : std::atoi(head.first_line.c_str() + index_at + 6);
-    record_.line("discovery %s: asked %s", name_.c_str(), head.first_line.c_str());
+    if (calls_++ < 1000) record_.line("discovery %s: asked %s", name_.c_str(), head.first_line.c_str());
+    pollfd ended{fd, POLLIN, 0};
+    if (::poll(&ended, 1, static_cast<int>(answers_after_s * 1e3)) > 0) return;  // the router has given up
     if (!watch) {
       const std::lock_guard lock(state_);
       const std::string body = list_json(rev_, true, entries_);
@@ -342,6 +357,7 @@
   std::vector<Entry> entries_;
   std::vector<std::pair<int, Entry>> changes_;
   std::map<std::string, double> told_;
+  std::atomic<int> calls_ = 0;
 };
 
 // ---- model replicas
@@ -363,16 +379,12 @@
   std::atomic<bool> draining = false;  // turns away what is new
   // How many milliseconds after its end an answer is sent a second time; negative: it is not.
   std::function<double(const std::string& id)> second_answer_after_ms;
-  // Whether the answer to this request is spoilt: an error that never ends.
-  std::function<bool(const std::string& id)> never_ends;
-  double endless_mb_per_s = 10;
 
   std::vector<Arrival> arrivals() const {
     const std::lock_guard lock(state_);
     return arrivals_;
   }
   std::size_t second_answers() const { return second_answers_; }
-  std::size_t endless_answers() const { return endless_answers_; }
   // The body of the answer to a request: its events.
   static std::string event(const std::string& id, int number) {
     return R"(data: {"choices":[{"index":0,"delta":{"content":")" + id + " " + std::to_string(number) +
@@ -417,7 +429,6 @@
           return;
         continue;
       }
-      if (never_ends && never_ends(arrival.id)) return send_without_end(fd, arrival.id);
       const double second_after = second_answer_after_ms ? second_answer_after_ms(arrival.id) : -1.0;
       const std::string start =
           "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -438,29 +449,11 @@
   }
 
  private:
-  // Sends until the router ends the connection.
-  void send_without_end(int fd, const std::string& id) {
-    ++endless_answers_;
-    record_.line("replica %s: an answer without an end to %s", uid_.c_str(), id.c_str());
-    sleep_s(first_token_s);
-    const std::string piece = chunk(std::string(64 << 10, 'x'));
-    bool open = send_all(fd,
-                         "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n"
-                         "Transfer-Encoding: chunked\r\n\r\n");
-    const double began = now_s();
-    double sent = 0;
-    for (; open && !stopping(); sleep_until(began + sent / (endless_mb_per_s * 1e6))) {
-      open = send_all(fd, piece);
-      sent += static_cast<double>(piece.size());
-    }
-    record_.line("replica %s: the router ended the answer to %s after %.1f MB", uid_.c_str(), id.c_str(),
-                 sent / 1e6);
-  }
   Record& record_;
   std::string uid_;
   mutable std::mutex state_;
   std::vector<Arrival> arrivals_;
-  std::atomic<std::size_t> second_answers_ = 0, endless_answers_ = 0;
+  std::atomic<std::size_t> second_answers_ = 0;
 };
 
 // ---- clients
@@ -654,13 +647,13 @@
     record_.line("router %s: ended, wait status %d", name_.c_str(), status_);
     return false;
   }
-  // The resident memory of the process in MB.
-  double memory_mb() const {
+  // The resident memory in MB that only this process has: without the pages of files, such as libraries.
+  double own_memory_mb() const {
     std::FILE* file = std::fopen(("/proc/" + std::to_string(pid_) + "/status").c_str(), "r");
     char line[256];
     double kilobytes = 0;
     while (file != nullptr && std::fgets(line, sizeof line, file) != nullptr)
-      std::sscanf(line, "VmRSS: %lf", &kilobytes);
+      std::sscanf(line, "RssAnon: %lf", &kilobytes);
     if (file != nullptr) std::fclose(file);
     return kilobytes / 1024.0;
   }
