--- a/review/stand_ins.h
+++ b/review/stand_ins.h
@@ -11,10 +11,12 @@
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
@@ -557,12 +559,14 @@
 
 // A configuration file as the deployment page has it, with the settings of a small deployment.
 inline std::string config_json(const std::string& name, int listen, int discovery, const Limits& limits,
-                               const std::string& known) {
+                               const std::string& known, int routers = 1,
+                               const std::string& seed = "8c1f30d27a5be964") {
   std::ostringstream out;
   out << R"({"name":")" << name << R"(","listen":"127.0.0.1:)" << listen << R"(","discovery":"127.0.0.1:)"
-      << discovery << R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":)" << limits.memory_mb
+      << discovery << R"(","seed":")" << seed << R"(","limits":{"cores":1.0,"memory_mb":)" << limits.memory_mb
       << R"(,"sockets":)" << limits.sockets << R"(},"known":)" << known << R"(,"settings":{
-  "service_type":"llm","balancers":1,"rank":0,"az":0,"failure_domains":["hall"],"models":["gpu"],
+  "service_type":"llm","balancers":)"
+      << routers << R"(,"rank":0,"az":0,"failure_domains":["hall"],"models":["gpu"],
   "layers":["model-replicas"],"stage":0,"tick":0.005,"registry_mode":"on_request","weight_source":"rough",
   "worth_by":"work","over_share_worth":0.1,"callers":{"marks_retry":true},
   "family_info":{"resume":true,"token_aim":[0.08,0.1],"aim_us_per_1000_prompt_tokens":[30000.0,30000.0]},
