Count requests for the endpoint list and connections to replicas

Need: two reviewed failures had several possible causes each, and neither log nor counters told them apart. A request for the list that the watch gave up for another one left no trace, nor did bytes that a replica sent while no request waited.

Change: counters list_requests, list_requests_replaced, replica_connections_opened, replica_connections_reused and unsolicited_responses; events endpoint_list_request_replaced (with its age) and unsolicited_response (with the time since the end of the response). No behaviour changes.

--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -397,6 +397,11 @@
   const auto print_counters = [&] {
     std::vector<log::Field> fields{{"phase", core::to_string(broker.phase())}};
     for (const auto& [name, value] : broker.counters().list()) fields.emplace_back(name, value);
+    fields.emplace_back("list_requests", watch.counters().requests);
+    fields.emplace_back("list_requests_replaced", watch.counters().requests_replaced);
+    fields.emplace_back("replica_connections_opened", http_replica_client.counters().opened);
+    fields.emplace_back("replica_connections_reused", http_replica_client.counters().reused);
+    fields.emplace_back("unsolicited_responses", http_replica_client.counters().unsolicited_responses);
     if (grpc_server) {
       fields.emplace_back("kserve_open_streams", grpc_server->open_calls());
       fields.emplace_back("kserve_streams_rejected", grpc_server->counters().streams_refused);
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -19,7 +19,8 @@
 
 class Watch::Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(Watch& owner) : owner_(&owner), socket_(owner.io_), silence_timer_(owner.io_) {
+  explicit Session(Watch& owner)
+      : owner_(&owner), socket_(owner.io_), silence_timer_(owner.io_), started_at_(owner.clock_.now()) {
     parser_.eager(true);
     parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
   }
@@ -49,6 +50,9 @@
     socket_.close(ignored);
   }
 
+  bool waits_for_answer() const { return !parser_.is_header_done(); }
+  core::Micros started_at() const { return started_at_; }
+
  private:
   void restart_silence_timer(core::Micros span) {
     silence_timer_.expires_after(std::chrono::microseconds(span));
@@ -130,6 +134,7 @@
   Watch* owner_;  // null once stopped
   tcp::socket socket_;
   asio::steady_timer silence_timer_;
+  core::Micros started_at_;
   std::string request_;
   boost::beast::flat_buffer buffer_;
   http::response_parser<http::string_body> parser_;
@@ -190,13 +195,22 @@
   if (subscribed_) subscribe(true);
 }
 
+void Watch::record_replaced_request() {
+  ++counters_.requests_replaced;
+  log::event(log::Level::info, "endpoint_list_request_replaced",
+             {{"at", config::host_port(address_.host, address_.port)},
+              {"after_ms", (clock_.now() - session_->started_at()) / core::kMilli}});
+}
+
 void Watch::subscribe(bool on) {
   subscribed_ = on;
   if (session_) {
+    if (on && session_->waits_for_answer()) record_replaced_request();
     session_->stop();
     session_.reset();
   }
   if (!on) return;
+  ++counters_.requests;
   const auto session = session_ = std::make_shared<Session>(*this);
   session->start();
 }
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -25,6 +25,12 @@
 // down.
 inline constexpr Silence kAgentSilence{3 * core::kSecond, 500 * core::kMilli};
 
+// Counts of requests for the endpoint list since the start of the process.
+struct WatchCounters {
+  std::uint64_t requests = 0;
+  std::uint64_t requests_replaced = 0;  // of them, given up for a further request before their answer began
+};
+
 class Watch final : public core::EndpointList {
  public:
   using UpdateHandler = std::function<void(core::EndpointListUpdate)>;
@@ -49,10 +55,12 @@
   bool feed(std::string_view text) { return apply(text); }
   std::uint32_t version() const { return have_list_ ? version_ : 0; }
   std::string status() const;  // the outcome of the last request, on one line
+  const WatchCounters& counters() const { return counters_; }
 
  private:
   class Session;
   bool apply(std::string_view text);
+  void record_replaced_request();
   boost::asio::io_context& io_;
   core::Clock& clock_;
   config::HostPort address_;
@@ -67,6 +75,7 @@
   bool subscribed_ = false;
   std::string last_error_ = "not requested yet";
   std::shared_ptr<Session> session_;
+  WatchCounters counters_;
 };
 
 }  // namespace flintglade::discovery
--- a/src/http/replica_client.cpp
+++ b/src/http/replica_client.cpp
@@ -15,6 +15,7 @@
 #include "config/config.h"
 #include "http/listener.h"
 #include "http/sse.h"
+#include "log/log.h"
 #include "net/errors.h"
 #include "net/write_all.h"
 
@@ -237,7 +238,10 @@
   void on_connection_lost() { fail(request_written_ ? Outcome::reset : Outcome::connect_failed); }
 
   void on_read(error_code ec) {
-    if (!busy_) return remove_idle();  // idle: the replica closed it, or sent bytes that no request asked for
+    if (!busy_) {
+      if (buffer_.size() > 0) record_unsolicited_response();
+      return remove_idle();
+    }
     error_code parse_error;
     while (buffer_.size() > 0 && !parser_->is_done()) {
       const std::size_t consumed = parser_->put(buffer_.data(), parse_error);
@@ -286,6 +290,8 @@
     } else if ((status == 503 || status == 504) && head["X-Never-Ran"] == "1") {
       outcome = Outcome::full;
     }
+    idle_since_ = owner_->clock_.now();
+    if (buffer_.size() > 0) record_unsolicited_response();
     const bool reusable = parser_->keep_alive() && request_written_ && buffer_.size() == 0;
     if (status == 400 || status == 413 || status == 422) {
       owner_->broker_.on_attempt_rejected(id_);
@@ -300,7 +306,6 @@
     if (!reusable || subchannel == owner.subchannels_.end() ||
         subchannel->second.no_new_after != core::kNever)
       return close();
-    idle_since_ = owner.clock_.now();
     subchannel->second.idle.push_back(shared_from_this());
     owner.sweep_timer_.fire_by(idle_since_ + owner.idle_lifetime());
     read();  // so that its end is detected while it is idle
@@ -314,6 +319,14 @@
     close();
   }
 
+  void record_unsolicited_response() {
+    const Micros now = owner_->clock_.now();
+    ++owner_->counters_.unsolicited_responses;
+    log::event(log::Level::info, "unsolicited_response",
+               {{"replica", replica_}, {"idle_us", now - idle_since_}, {"bytes", buffer_.size()}});
+  }
+
+  // Removes an idle connection that the replica closed, or on which it sent bytes that no request asked for.
   void remove_idle() {
     const auto subchannel = owner_->subchannels_.find(replica_);
     if (subchannel != owner_->subchannels_.end()) std::erase(subchannel->second.idle, shared_from_this());
@@ -384,6 +397,7 @@
     const auto connection = *candidate;
     idle.erase(std::next(candidate).base());
     attempts_[key(id)] = connection;
+    ++counters_.reused;
     connection->assign(id, std::move(request), first_event_timeout);
     return connection->send();
   }
@@ -392,6 +406,7 @@
   }
   const auto connection = std::make_shared<Connection>(*this, replica);
   attempts_[key(id)] = connection;
+  ++counters_.opened;
   connection->assign(id, std::move(request), first_event_timeout);
   connection->start_dial(subchannel->second.address);
 }
--- a/src/http/replica_client.h
+++ b/src/http/replica_client.h
@@ -16,6 +16,13 @@
 
 namespace flintglade::http {
 
+// Counts of connections to replicas since the start of the process.
+struct ReplicaConnectionCounters {
+  std::uint64_t opened = 0;                 // dialled, whether or not they came up
+  std::uint64_t reused = 0;                 // attempts sent on an idle connection
+  std::uint64_t unsolicited_responses = 0;  // bytes that no attempt waited for; the connection was closed
+};
+
 struct ReplicaClientSettings {
   core::Micros dial_timeout = 150 * core::kMilli;
   core::Micros conn_idle = 5 * core::kSecond;     // the replica closes a connection idle for this long
@@ -41,6 +48,7 @@
   // Frees a descriptor by closing the connection that has been idle longest. Returns false if none is idle.
   bool close_longest_idle();
   std::size_t connections() const { return connections_; }
+  const ReplicaConnectionCounters& counters() const { return counters_; }
   // Stream migration: moves the connection of an unfinished response to or from another process of this
   // router. export_stream() returns the descriptor, which stays open here until migrated_out(), and sets the
   // replica's fields of `stream`; it returns -1 if the response cannot move at this moment.
@@ -69,6 +77,7 @@
   std::unordered_map<core::ReplicaId, Subchannel> subchannels_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> attempts_;
   std::size_t connections_ = 0;
+  ReplicaConnectionCounters counters_;
 };
 
 }  // namespace flintglade::http
