Keep one chain of requests for the endpoint list, however long it is out of reach

After 82 s one router made some 8,000 calls in 16 s; with a list and DNS that both fail its memory grew without a bound.

Cause: EndpointListPolling set a timer after each failure and one after each subscription, and none was ever void. Each that expired without a list subscribed again, which replaces the watch's request that waits, and set the next two.

Why this works: only the timer that was set last counts (its number is in the cookie), and a further failure does not postpone what is due. So one request is out at a time, and at most 22.5 s of void timers are queued.

--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -73,7 +73,8 @@
 }
 
 void Balancer::Impl::on_timer(std::uint64_t cookie, EventContext context) {
-  if (timer_kind(cookie) == TimerKind::endpoint_list) return modules_.list_polling.on_timer(context.sink);
+  if (timer_kind(cookie) == TimerKind::endpoint_list)
+    return modules_.list_polling.on_timer(timer_number(cookie), context.sink);
   requests_.on_timer(cookie, context);
 }
 
--- a/src/policy/request_lifecycle.cpp
+++ b/src/policy/request_lifecycle.cpp
@@ -121,7 +121,7 @@
 }
 
 void RequestLifecycle::on_timer(std::uint64_t cookie, EventContext context) {
-  const auto found = requests_.find(timer_request(cookie));
+  const auto found = requests_.find(timer_number(cookie));
   if (found == requests_.end() || found->second.finished || found->second.streaming) return;
   Request& request = found->second;
   const TimerKind kind = timer_kind(cookie);
--- a/src/policy/timer_cookie.h
+++ b/src/policy/timer_cookie.h
@@ -1,4 +1,5 @@
-// The cookies of a Balancer's timers: the kind of timer in the upper bits, the request id in the lower ones.
+// The cookies of a Balancer's timers: the kind of timer in the upper bits, a number in the lower ones. The
+// number is the request's id, or counts the timers of kind endpoint_list.
 #pragma once
 
 #include <cstdint>
@@ -9,16 +10,16 @@
 
 enum class TimerKind : std::uint64_t { deadline = 0, hedge = 1, held_request = 2, endpoint_list = 3 };
 
-// Request ids are below 2^52.
+// The numbers are below 2^52.
 inline constexpr int kTimerKindShift = 52;
 
-inline std::uint64_t timer_cookie(TimerKind kind, RequestId request = 0) {
-  return request | static_cast<std::uint64_t>(kind) << kTimerKindShift;
+inline std::uint64_t timer_cookie(TimerKind kind, std::uint64_t number) {
+  return number | static_cast<std::uint64_t>(kind) << kTimerKindShift;
 }
 inline TimerKind timer_kind(std::uint64_t cookie) {
   return static_cast<TimerKind>(cookie >> kTimerKindShift);
 }
-inline RequestId timer_request(std::uint64_t cookie) {
+inline std::uint64_t timer_number(std::uint64_t cookie) {
   return cookie & ((std::uint64_t{1} << kTimerKindShift) - 1);
 }
 
--- a/tests/policy/timer_cookie_test.cpp
+++ b/tests/policy/timer_cookie_test.cpp
@@ -11,7 +11,7 @@
        {TimerKind::deadline, TimerKind::hedge, TimerKind::held_request, TimerKind::endpoint_list}) {
     for (const RequestId id : {RequestId{0}, RequestId{1}, kLargestId}) {
       EXPECT_EQ(timer_kind(timer_cookie(kind, id)), kind);
-      EXPECT_EQ(timer_request(timer_cookie(kind, id)), id);
+      EXPECT_EQ(timer_number(timer_cookie(kind, id)), id);
     }
   }
 }
