Leave a request for the endpoint list that waits to its answer

What callers could see: a list that comes up to 3 s later than necessary. SIGHUP moves discovery while the policy waits to retry; the request to the new address begins at once, and the retry that is still due replaces it.

Cause: Watch::subscribe(true) always ended the session under way.

Why this works: a session that waits for the head of its answer has a time-out of its own (2.5 s, 0.5 s for an agent), so it always ends with an answer or a failure, and asking again adds nothing to it. A new address still replaces the request at once (a_moved_discovery_is_asked_at_once). An open watch is asked anew as before.

The cost is none: no request is made that was not made before.

--- a/src/core/endpoint_list.h
+++ b/src/core/endpoint_list.h
@@ -28,7 +28,8 @@
 class EndpointList {
  public:
   virtual ~EndpointList() = default;
-  // Starts or ends the subscription to updates. Subscribing again while subscribed requests the list again.
+  // Starts or ends the subscription to updates. Subscribing again while subscribed requests the list again,
+  // unless a request for it still waits for its answer.
   virtual void subscribe(bool on) = 0;
 };
 
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -192,7 +192,7 @@
   if (to.host == address_.host && to.port == address_.port) return;
   address_ = std::move(to);
   have_list_ = false;  // another service may have other versions, so request the complete list
-  if (subscribed_) subscribe(true);
+  if (subscribed_) start_session();
 }
 
 void Watch::record_replaced_request() {
@@ -204,15 +204,23 @@
 
 void Watch::subscribe(bool on) {
   subscribed_ = on;
-  if (session_) {
-    if (on && session_->waits_for_answer()) record_replaced_request();
-    session_->stop();
-    session_.reset();
-  }
-  if (!on) return;
+  if (!on) return stop_session();
+  if (session_ && session_->waits_for_answer()) return;
+  start_session();
+}
+
+void Watch::start_session() {
+  if (session_ && session_->waits_for_answer()) record_replaced_request();
+  stop_session();
   ++counters_.requests;
   const auto session = session_ = std::make_shared<Session>(*this);
   session->start();
 }
 
+void Watch::stop_session() {
+  if (!session_) return;
+  session_->stop();
+  session_.reset();
+}
+
 }  // namespace flintglade::discovery
--- a/src/discovery/watch.h
+++ b/src/discovery/watch.h
@@ -41,7 +41,8 @@
   // Loads the list that the platform cached before the start, or an empty text. The watch starts from its
   // version.
   void load_cached_list(const std::string& json);
-  // Called by the module, and again after a failure; the watch never retries by itself.
+  // Called by the module, and again after a failure; the watch never retries by itself. A request that still
+  // waits for its answer is left to it: its own time-out ends it.
   void subscribe(bool on) override;
   // Applies a reloaded address of discovery. If the watch is subscribed, it connects to the new address at
   // once, even if the module is waiting to retry. The list held stays in force until the answer.
@@ -60,6 +61,8 @@
  private:
   class Session;
   bool apply(std::string_view text);
+  void start_session();
+  void stop_session();
   void record_replaced_request();
   boost::asio::io_context& io_;
   core::Clock& clock_;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -200,6 +200,31 @@
   CHECK(d.updates[0].kind == policy::ListKind::failed);
 }
 
+// Guards against calls to discovery that the router ends itself: while discovery was slow, a timer that asked
+// again ended the call that waited, and no list came.
+void asking_again_does_not_end_a_call_that_waits() {
+  DiscoveryFixture d;
+  d.watch->subscribe(true);  // the head of the answer to the first call has not been read yet
+  CHECK(d.watch->counters().requests == 1 && d.watch->counters().requests_replaced == 0);
+  d.chunk(kSingleLineList + std::string("\n"));
+  CHECK(d.run_until([&] { return !d.updates.empty(); }));
+  CHECK(d.updates[0].version == 7);
+}
+
+// A call to an address that a reload has withdrawn is given up at once.
+void a_moved_discovery_is_asked_at_once() {
+  DiscoveryFixture d;
+  tcp::acceptor moved(d.io, {boost::asio::ip::address_v4::loopback(), 0});
+  d.watch->set_address({"127.0.0.1", moved.local_endpoint().port()});
+  CHECK(d.watch->counters().requests == 2 && d.watch->counters().requests_replaced == 1);
+  d.peer.close();
+  moved.accept(d.peer);
+  d.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  d.chunk(kSingleLineList + std::string("\n"));
+  CHECK(d.run_until([&] { return !d.updates.empty(); }));
+  CHECK(d.updates[0].version == 7);
+}
+
 // ---- clients over HTTP ----------------------------------------------------------------------------------
 
 std::string http_request(const std::string& id, const std::string& body = "{}") {
@@ -450,6 +475,8 @@
                                          a_restarted_silence_timer_has_not_expired,
                                          an_unfinished_list_does_not_keep_a_watch_alive,
                                          a_silent_watch_fails_in_time_to_be_reopened,
+                                         asking_again_does_not_end_a_call_that_waits,
+                                         a_moved_discovery_is_asked_at_once,
                                          requests_read_before_a_drain_are_served,
                                          a_request_after_connection_close_is_not_forwarded,
                                          a_partially_read_request_is_rejected_after_the_accept_window,
