Drop the retry of the list once it has come from another address

What callers could see: one more call to discovery after a reload, and an open watch that is closed and opened for nothing.

Cause: with several sources, EndpointSources sets a timer after a failed request. A reload that moves discovery gets the list from the new address at once, and the timer, which was not checked against that, subscribed again.

Why this works: list_failures_ is 0 once a list has come, and the retry is due only while it is not.

--- a/src/endpoint_sources/endpoint_sources.cpp
+++ b/src/endpoint_sources/endpoint_sources.cpp
@@ -107,7 +107,8 @@
   list_retry_timer_.expires_after(
       std::chrono::microseconds(static_cast<Micros>(static_cast<double>(delay) * jitter)));
   list_retry_timer_.async_wait([this](error_code ec) {
-    if (!ec && uses_list_) watch_.subscribe(true);
+    // After a reload the watch may have got a list from another address in the meantime.
+    if (!ec && uses_list_ && list_failures_ > 0) watch_.subscribe(true);
   });
 }
 
