Take no response to a request that is still being written

What callers could see: the response to another request, where a large request is written slowly and a late second response to the connection's earlier request arrives in the middle of it.

Cause: the replica client took any response on a busy connection.

Evidence: ReplicaClientTest.TakesNoResponseBeforeTheRequestIsWritten fails on: a request of 32 MB, more than the socket buffers hold, is answered with what came in the middle of it.

Why this works: the attempt ends as connect_failed and its connection is closed. The request is not whole, so it never ran, and may be retried for every class. A write completes before its answer can be read, as the event loop completes writes before reads, so a true response is never refused. Errors and refusals may come early and stand.

--- a/src/http/replica_client.cpp
+++ b/src/http/replica_client.cpp
@@ -258,6 +258,8 @@
       owner_->sweep_timer_.fire_by(head_deadline());
     }
     if (parser_->is_header_done() && parser_->get().result() == beast_http::status::ok) {
+      // A replica begins a request when its last byte has arrived: this is the response to an earlier one.
+      if (!request_written_) return fail(Outcome::connect_failed);
       // Without chunks or a length, the end of the stream cannot be distinguished from a broken connection.
       if (parser_->need_eof()) return fail_malformed();
       chunk_bytes_received_ += parser_->get().body().size();
--- a/tests/http/replica_client_test.cpp
+++ b/tests/http/replica_client_test.cpp
@@ -167,5 +167,17 @@
   EXPECT_EQ(client_.counters().opened, 1u);
 }
 
+// Guards against a response that arrives while its connection's next request is still being written: the
+// replica cannot have begun that request.
+TEST_F(ReplicaClientTest, TakesNoResponseBeforeTheRequestIsWritten) {
+  constexpr std::size_t kMoreThanSocketBuffers = 32u << 20;
+  const auto request = send(kMoreThanSocketBuffers);
+  tcp::socket& socket = connection(1);
+  EXPECT_TRUE(run_until([&] { return socket.available() > 0; }));
+  write(socket, response("of another request"));
+  EXPECT_TRUE(run_until([&] { return core_.outcomes(policy::Outcome::connect_failed) > 0; }));
+  EXPECT_EQ(request->text, "");
+}
+
 }  // namespace
 }  // namespace flintglade::http
