Tests: a started process has no descriptors of the test any more

No caller met anything by this.

Cause: the test counts descriptors under /proc. Between fork and execv a starting process is a copy of the test, with the sockets of its clients and stand-in replicas, and was counted with them.

Change: tests::Process returns from its constructor when the program is executed; a descriptor that closes on exec tells it. The check in fleet_test, all processes together within the limit, stays as it is.

--- a/tests/fleet/process.cpp
+++ b/tests/fleet/process.cpp
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
@@ -20,20 +21,29 @@
 // A process that has exited leaves at most one pipe buffer of output.
 constexpr std::chrono::seconds kEndOfOutputTimeout{5};
 
+// Waits until each copy of the write end of this pipe is closed.
+void wait_for_close(int read_end) {
+  char byte = 0;
+  while (::read(read_end, &byte, 1) < 0 && errno == EINTR) {
+  }
+}
+
 }  // namespace
 
 Process::Process(const ProcessOptions& options) {
-  int pipe[2];
-  if (::pipe2(pipe, O_CLOEXEC) != 0)
-    throw std::runtime_error("cannot create the pipe for the log of a process");
+  int pipe[2], executed[2];  // the write end of `executed` closes when the program is executed
+  if (::pipe2(pipe, O_CLOEXEC) != 0 || ::pipe2(executed, O_CLOEXEC) != 0)
+    throw std::runtime_error("cannot create the pipes of a process");
   pid_ = ::fork();
   if (pid_ == 0) {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // ends with the test, even if the test is killed
     ::dup2(pipe[1], STDERR_FILENO);
     if (options.inherit == 3) ::fcntl(3, F_SETFD, 0);
     if (options.inherit >= 0 && options.inherit != 3) ::dup2(options.inherit, 3);
+    const int first_unused = options.inherit >= 0 ? 4 : 3;
+    if (executed[1] != first_unused) ::dup3(executed[1], first_unused, O_CLOEXEC);
     // Sockets of the test itself: a peer would not see them closed while the process has a copy.
-    ::close_range(options.inherit >= 0 ? 4 : 3, ~0U, 0);
+    ::close_range(static_cast<unsigned>(first_unused) + 1, ~0U, 0);
     for (const auto& [name, value] : options.environment)
       value.empty() ? ::unsetenv(name.c_str()) : ::setenv(name.c_str(), value.c_str(), 1);
     std::vector<char*> arguments{const_cast<char*>(options.program.c_str())};
@@ -44,6 +54,9 @@
     ::_exit(127);
   }
   ::close(pipe[1]);
+  ::close(executed[1]);
+  wait_for_close(executed[0]);
+  ::close(executed[0]);
   reader_ = std::thread([this, read_end = pipe[0]] {
     char bytes[4096];
     for (ssize_t n; (n = ::read(read_end, bytes, sizeof bytes)) > 0;) {
--- a/tests/fleet/process.h
+++ b/tests/fleet/process.h
@@ -24,6 +24,7 @@
 
 class Process {
  public:
+  // Returns when the process executes the program, so that descriptors() counts none of the test's own.
   explicit Process(const ProcessOptions& options);
   ~Process();  // kills the process if it still runs
   Process(const Process&) = delete;
--- a/tests/fleet/process_test.cpp
+++ b/tests/fleet/process_test.cpp
@@ -1,9 +1,13 @@
-// The output of a process that a test has started.
+// The output and the descriptors of a process that a test has started.
 #include "fleet/process.h"
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
+
+#include "net/unique_fd.h"
 
 namespace flintglade::tests {
 namespace {
@@ -24,5 +28,20 @@
   }
 }
 
+// fleet_upgrades_30: a process that was forked and had not executed the program yet was counted with the
+// descriptors of the test.
+TEST(Process, HasNoDescriptorsOfTheTestOnceItIsStarted) {
+  constexpr std::size_t kDescriptorsOfTheTest = 200, kMostOfTheProgram = 10;
+  std::vector<net::UniqueFd> held;
+  for (std::size_t i = 0; i < kDescriptorsOfTheTest; ++i) {
+    held.emplace_back(::open("/dev/null", O_RDONLY | O_CLOEXEC));
+    ASSERT_TRUE(held.back());
+  }
+  for (int i = 0; i < kRounds; ++i) {
+    const Process process({"/bin/sleep", {"60"}, {}, -1});
+    ASSERT_LE(process.descriptors(), kMostOfTheProgram) << "in round " << i;
+  }
+}
+
 }  // namespace
 }  // namespace flintglade::tests
