Count what client connections hold, by purpose, and what the allocator keeps

Change: the containers of a client connection allocate through CountingAllocator. SIGUSR1 prints the sums and mallinfo2.

--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -1,5 +1,7 @@
 // The serve command: constructs and connects the packages and runs the event loop. Contains no decision
 // logic.
+#include <malloc.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
@@ -148,6 +150,18 @@
   }
 }
 
+// What requests hold, and what the allocator has taken from the system, in bytes.
+void add_memory_fields(const http::MemoryUsage& connections, std::size_t request_bytes,
+                       std::vector<log::Field>& fields) {
+  const struct mallinfo2 heap = ::mallinfo2();
+  fields.emplace_back("client_read_buffer_bytes", connections.read_buffers);
+  fields.emplace_back("client_header_bytes", connections.headers);
+  fields.emplace_back("client_body_bytes", connections.bodies);
+  fields.emplace_back("request_bytes", request_bytes);
+  fields.emplace_back("heap_used_bytes", heap.uordblks + heap.hblkhd);
+  fields.emplace_back("heap_free_bytes", heap.fordblks);
+}
+
 void add_handled_signals(boost::asio::signal_set& signals) {
   for (const int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) signals.add(signal);
 }
@@ -417,6 +431,7 @@
     fields.emplace_back("replica_connections_opened", http_replica_client.counters().opened);
     fields.emplace_back("replica_connections_reused", http_replica_client.counters().reused);
     fields.emplace_back("unsolicited_responses", http_replica_client.counters().unsolicited_responses);
+    add_memory_fields(http_server.memory(), broker.body_bytes(), fields);
     if (grpc_server) {
       fields.emplace_back("kserve_open_streams", grpc_server->open_calls());
       fields.emplace_back("kserve_streams_rejected", grpc_server->counters().streams_refused);
--- a/src/http/request.h
+++ b/src/http/request.h
@@ -1,16 +1,19 @@
 // Validates a client's HTTP request and converts it to a request of the core.
 #pragma once
 
+#include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <string>
 
 #include "config/labels.h"
 #include "core/ports.h"
+#include "http/connection_memory.h"
 
 namespace flintglade::http {
 
-using Request = boost::beast::http::request<boost::beast::http::string_body>;
+using Fields = boost::beast::http::basic_fields<CountingAllocator<char>>;
+using Request = boost::beast::http::request<boost::beast::http::string_body, Fields>;
 
 inline constexpr std::string_view kCompletionsPath = "/v1/chat/completions";
 inline constexpr std::size_t kLargestBody = 256u << 10;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -14,8 +14,11 @@
 #include <chrono>
 #include <cstdio>
 #include <optional>
+#include <string>
+#include <tuple>
 #include <utility>
 
+#include "http/connection_memory.h"
 #include "http/listener.h"
 #include "http/request.h"
 #include "net/errors.h"
@@ -56,6 +59,10 @@
 constexpr const char* kTooManyClients = "too many clients: try again later\n";
 constexpr const char* kRetryAfter = "Retry-After: 1\r\n";
 
+using CountedBody = beast_http::basic_string_body<char, std::char_traits<char>, CountingAllocator<char>>;
+using RequestParser = beast_http::request_parser<CountedBody, CountingAllocator<char>>;
+using ParsedRequest = RequestParser::value_type;
+
 const char* reason_phrase(unsigned status) {
   switch (status) {
     case 200:
@@ -87,7 +94,11 @@
                                      public std::enable_shared_from_this<Connection> {
  public:
   Connection(HttpServer& owner, tcp::socket socket)
-      : owner_(&owner), socket_(std::move(socket)), disconnect_timer_(socket_.get_executor()) {
+      : owner_(&owner),
+        socket_(std::move(socket)),
+        memory_(owner.memory_),
+        buffer_(CountingAllocator<char>(memory_.read_buffer())),
+        disconnect_timer_(socket_.get_executor()) {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
     last_progress_ = last_received_ = connected_at_ = owner.clock_.now();
@@ -278,7 +289,8 @@
     connected_at_ -= std::min(since_last_ack, kFirstByteTimeout);
   }
   void reset_parser() {
-    parser_.emplace();
+    parser_.emplace(std::piecewise_construct, std::make_tuple(CountingAllocator<char>(memory_.body())),
+                    std::make_tuple(CountingAllocator<char>(memory_.header())));
     parser_->eager(true);
     parser_->body_limit(kLargestBody);
     parser_->header_limit(kMaxHeadSize);
@@ -314,7 +326,8 @@
       }
       if (!parser_->is_done()) continue;
       if (!parser_->keep_alive()) client_sent_close_ = true;
-      Request request = parser_->release();
+      ParsedRequest parsed = parser_->release();
+      Request request(std::move(parsed.base()), std::string(parsed.body()));
       reset_parser();
       received_request_ = true;
       handle(std::move(request));
@@ -369,7 +382,7 @@
   // If Content-Length and Transfer-Encoding disagree on where a body ends, or the encoding is one that the
   // parser does not implement, bytes that one recipient takes for the body are another request for the next
   // one (request smuggling).
-  static bool has_unambiguous_framing(const Request& request) {
+  static bool has_unambiguous_framing(const ParsedRequest& request) {
     const auto encoding = request[beast_http::field::transfer_encoding];
     if (request.count(beast_http::field::transfer_encoding) == 0) return true;
     return request.count(beast_http::field::content_length) == 0 &&
@@ -457,8 +470,9 @@
 
   HttpServer* owner_;  // null once closed
   tcp::socket socket_;
-  boost::beast::flat_buffer buffer_;
-  std::optional<beast_http::request_parser<beast_http::string_body>> parser_;
+  ConnectionMemory memory_;
+  boost::beast::basic_flat_buffer<CountingAllocator<char>> buffer_;
+  std::optional<RequestParser> parser_;
   std::string pending_output_, write_buffer_;
   core::RequestId request_id_ = 0;  // the open request; 0: none
   Micros last_progress_ = 0;        // the first byte of a request, or the start or end of a write
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -13,6 +13,7 @@
 #include "core/ports.h"
 #include "hot_restart.pb.h"
 #include "http/connection_eviction.h"
+#include "http/connection_memory.h"
 #include "http/idle_timer.h"
 
 namespace flintglade::http {
@@ -39,6 +40,8 @@
   void stop_accepting();
   std::uint16_t port() const { return port_; }
   std::size_t connections() const { return connections_.size(); }
+  // What all client connections hold. Requests that have been passed to the core are not included.
+  const MemoryUsage& memory() const { return *memory_; }
   // Sets a function that is called when no descriptor is left, and frees one elsewhere.
   void on_descriptors_exhausted(std::function<bool()> release_descriptor) {
     release_descriptor_ = std::move(release_descriptor);
@@ -81,6 +84,7 @@
   IdleTimer sweep_timer_;
   boost::asio::steady_timer accept_retry_timer_;
   std::function<bool()> release_descriptor_;
+  std::shared_ptr<MemoryUsage> memory_ = std::make_shared<MemoryUsage>();
   std::set<std::shared_ptr<Connection>> connections_;
   std::uint16_t port_ = 0;
   std::function<bool()> may_accept_;  // empty: accepting is always allowed
--- a/src/pcap/reader.cpp
+++ b/src/pcap/reader.cpp
@@ -154,7 +154,7 @@
     }
   }
 
-  using Parser = beast_http::request_parser<beast_http::string_body>;
+  using Parser = beast_http::request_parser<beast_http::string_body, http::Fields::allocator_type>;
   std::optional<std::uint32_t> next_sequence_;
   std::vector<std::pair<std::uint32_t, std::string>> out_of_order_;
   std::size_t out_of_order_bytes_ = 0;
