Keep unfinished requests within the memory budget, and let them give way to others

What callers saw: under a crowd that never finishes its requests the platform kills the router for its memory, with all its streams; where memory holds, clients wait 1.5 s for the accept and get a third of the service.

Cause: the budget counted requests from their last byte on. And a byte in the last 250 ms kept a descriptor for 2.5 s; whoever was refused kept it for as long as it sent on.

At 97.4 MB unfinished bodies had allocated 175 MB for 99 MB received, all else together 6 MB.

Change: one budget, a quarter of memory_mb, for requests in flight and all that is being received, by what is allocated. After each read partial requests are refused with a 503 until it fits (ConnectionEviction, pure). Bodies are received in blocks, lengths reserve nothing, no connection keeps a read buffer, processes of one router split what is free. Progress is growth by a fraction, so a byte now and then keeps no descriptor; the accept makes room at once.

Why it works: at most one read is held beyond the budget, whatever the size, framing or rate.

Test: fleet_unfinished_bodies (two processes, 64 MB) failed before with 199 MB and 20 refused of 262; now 55 MB, none. Unit tests of the rule, the blocks, and the server. units_test's table of eviction ranks is unchanged.

--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -230,7 +230,8 @@
     usage.descriptors +=
         (http_server_pointer != nullptr ? http_server_pointer->connections() : 0) +
         (http_replica_client_pointer != nullptr ? http_replica_client_pointer->connections() : 0);
-    if (broker_pointer != nullptr) usage.body_bytes = broker_pointer->body_bytes();
+    if (broker_pointer != nullptr) usage.body_bytes = broker_pointer->received_body_bytes();
+    if (http_server_pointer != nullptr) usage.body_bytes += http_server_pointer->memory().total();
     return usage;
   };
   // Publishes what this process uses, and returns the limits that it has now.
@@ -309,7 +310,8 @@
     return reserved_for_replicas(http_connections(limits));
   };
   http::HttpServer http_server(io, broker, clock,
-                               {labels(config), max_client_connections, reserved_descriptors / 2});
+                               {labels(config), max_client_connections, reserved_descriptors / 2,
+                                [&broker] { return broker.body_budget(); }});
   http_server_pointer = &http_server;
   http_server.on_descriptors_exhausted(
       [&http_replica_client] { return http_replica_client.close_longest_idle(); });
@@ -431,6 +433,8 @@
     fields.emplace_back("replica_connections_opened", http_replica_client.counters().opened);
     fields.emplace_back("replica_connections_reused", http_replica_client.counters().reused);
     fields.emplace_back("unsolicited_responses", http_replica_client.counters().unsolicited_responses);
+    fields.emplace_back("client_connections_evicted", http_server.counters().evicted);
+    fields.emplace_back("client_requests_refused_for_memory", http_server.counters().refused_for_memory);
     add_memory_fields(http_server.memory(), broker.body_bytes(), fields);
     if (grpc_server) {
       fields.emplace_back("kserve_open_streams", grpc_server->open_calls());
@@ -541,6 +545,7 @@
         // In each iteration, so that the usage that the other processes see is current.
         const hot_restart::ProcessLimits limits = publish_usage_and_get_limits();
         broker.body_budget(limits.body_bytes);
+        http_server.enforce_memory_budget();
         http_replica_client.close_idle_above(max_connections_with_idle_ones(limits));
         if (no_handler_ready && hot_restart_coordinator) hot_restart_coordinator->migrate_streams();
         if (broker.phase() != core::Phase::draining) return;
--- a/src/core/broker.cpp
+++ b/src/core/broker.cpp
@@ -115,6 +115,7 @@
     ++context_.counters.answers_of(request->request_class).failed;
     return 0;
   }
+  context_.requests.count_queued_body(*request);
   context_.events.emplace_back(RequestReceived{id, std::move(request), std::move(response_writer)});
   return id;
 }
--- a/src/core/broker.h
+++ b/src/core/broker.h
@@ -109,6 +109,7 @@
   void reload_refused() { ++context_.counters.reloads_rejected; }
   // Sets the budget for request bodies, in bytes, for requests that arrive from now on.
   void body_budget(std::size_t bytes) { context_.settings.body_budget = bytes; }
+  std::size_t body_budget() const { return context_.settings.body_budget; }
 
   // === Hot restart ===
 
@@ -135,6 +136,10 @@
   std::size_t requests_in_flight() const { return context_.requests.open_requests(); }
   // Bytes of request bodies held.
   std::size_t body_bytes() const { return context_.requests.body_bytes(); }
+  // The same with the requests that wait for the next iteration.
+  std::size_t received_body_bytes() const {
+    return context_.requests.body_bytes() + context_.requests.queued_body_bytes();
+  }
   // Replicas that the current endpoint list has as ready or draining.
   std::size_t listed_replicas() const;
   // Of them, those that are draining or that the module currently avoids.
--- a/src/core/request_handler.cpp
+++ b/src/core/request_handler.cpp
@@ -22,6 +22,7 @@
 void RequestHandler::handle(RequestReceived& event) {
   Counters& counters = context_.counters;
   ++counters.requests;
+  context_.requests.uncount_queued_body(*event.request);
   context_.trace_event(
       {.kind = TraceEvent::Kind::request_received, .request = event.id, .detail = event.request->trace_id});
   counters.client_retries += event.request->is_retry;
--- a/src/core/request_table.h
+++ b/src/core/request_table.h
@@ -80,6 +80,11 @@
   // Frees the request's content; only the wire is kept.
   void drop_body(RequestState& state);
   std::size_t body_bytes() const { return body_bytes_; }
+  // The bodies of requests that have arrived and wait for the next iteration, in which they are admitted or
+  // rejected.
+  void count_queued_body(const Request& request) { queued_body_bytes_ += request.bytes(); }
+  void uncount_queued_body(const Request& request) { queued_body_bytes_ -= request.bytes(); }
+  std::size_t queued_body_bytes() const { return queued_body_bytes_; }
 
   // Requests without a final response.
   std::size_t open_requests() const { return open_requests_; }
@@ -92,6 +97,7 @@
   RequestId last_id_ = 0;
   std::size_t open_requests_ = 0;
   std::size_t body_bytes_ = 0;
+  std::size_t queued_body_bytes_ = 0;
   std::unordered_map<RequestId, RequestState> requests_;
   std::vector<RequestId> finished_;
   std::unordered_set<std::string> open_trace_ids_;
--- a/src/hot_restart/limit_partition.cpp
+++ b/src/hot_restart/limit_partition.cpp
@@ -15,6 +15,13 @@
   return used + kUsageSlackDescriptors;
 }
 
+std::size_t body_bytes_limit(std::size_t router_limit, std::size_t own, std::size_t used_by_others,
+                             std::size_t others) {
+  const std::size_t available = remaining(router_limit, used_by_others);
+  if (available <= own) return available;
+  return own + (available - own) / (others + 1);
+}
+
 }  // namespace
 
 ProcessLimits partition_limits(const ProcessLimits& router_limits, const ProcessUsage& self,
@@ -29,8 +36,9 @@
     used.body_bytes += other.body_bytes;
     another_is_starting = another_is_starting || other.stage == ProcessStage::starting;
   }
-  ProcessLimits limits{remaining(router_limits.descriptors, used.descriptors),
-                       remaining(router_limits.body_bytes, used.body_bytes)};
+  ProcessLimits limits{
+      remaining(router_limits.descriptors, used.descriptors),
+      body_bytes_limit(router_limits.body_bytes, self.body_bytes, used.body_bytes, others.size())};
   if (self.stage == ProcessStage::serving && another_is_starting) {
     limits.descriptors = std::min(limits.descriptors, router_limits.descriptors / 2);
     limits.body_bytes = std::min(limits.body_bytes, router_limits.body_bytes / 2);
--- a/src/hot_restart/limit_partition.h
+++ b/src/hot_restart/limit_partition.h
@@ -34,9 +34,11 @@
 inline constexpr std::size_t kUsageSlackDescriptors = 8;
 
 // Returns the limits of this process now. router_limits: those of the whole router. A process that is alone
-// may use everything except kStartReserveDescriptors; otherwise, what the others have left. While another
-// process starts, a serving process is limited to half of the router's limits, so that the new one has room
-// when it begins to serve; a draining one takes up nothing new and keeps what it has.
+// may use everything except kStartReserveDescriptors. Otherwise it may use the descriptors that the others
+// have left, and of the memory what it holds and an equal share of what is free: all processes may grow
+// before they see each other's usage. While another process starts, a serving process is limited to half of
+// the router's limits, so that the new one has room when it begins to serve; a draining one takes up nothing
+// new and keeps what it has.
 ProcessLimits partition_limits(const ProcessLimits& router_limits, const ProcessUsage& self,
                                std::span<const ProcessUsage> others);
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -20,7 +20,9 @@
 
 #include "http/connection_memory.h"
 #include "http/listener.h"
+#include "http/receive_progress.h"
 #include "http/request.h"
+#include "http/segmented_body.h"
 #include "net/errors.h"
 #include "net/write_all.h"
 
@@ -56,11 +58,15 @@
 constexpr std::size_t kLingerReadSize = 64u << 10;
 constexpr Micros kWriteTimeout = 30 * core::kSecond;  // for a client that reads nothing
 
+// How often accepting is tried again while no connection could give way to a new one.
+constexpr Micros kBlockedAcceptInterval = 10 * core::kMilli;
+// Part of the memory budget that requests read ahead behind open ones may use beside it.
+constexpr std::size_t kReadAheadDivisor = 8;
+
 constexpr const char* kTooManyClients = "too many clients: try again later\n";
 constexpr const char* kRetryAfter = "Retry-After: 1\r\n";
 
-using CountedBody = beast_http::basic_string_body<char, std::char_traits<char>, CountingAllocator<char>>;
-using RequestParser = beast_http::request_parser<CountedBody, CountingAllocator<char>>;
+using RequestParser = beast_http::request_parser<SegmentedBody, CountingAllocator<char>>;
 using ParsedRequest = RequestParser::value_type;
 
 const char* reason_phrase(unsigned status) {
@@ -100,39 +106,64 @@
         buffer_(CountingAllocator<char>(memory_.read_buffer())),
         disconnect_timer_(socket_.get_executor()) {
     error_code ignored;
+    socket_.non_blocking(true, ignored);
     socket_.set_option(tcp::no_delay(true), ignored);
     last_progress_ = last_received_ = connected_at_ = owner.clock_.now();
     if (owner.under_connection_pressure()) account_for_accept_queue();
     reset_parser();
   }
 
-  // What the client sent while the connection was in the accept queue is read before eviction considers the
-  // connection: the handler of the first read runs before the one posted here.
+  // What the client sent while the connection was in the accept queue is read at once, before eviction
+  // considers the connection.
   void start() {
-    read();
-    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->initial_read_done_ = true; });
+    receive();
+    initial_read_done_ = true;
   }
 
+  // Waits until there is something to read. Memory for it is allocated only then: a connection whose client
+  // sends nothing holds none.
   void read() {
     if (owner_ == nullptr) return;
     owner_->sweep_timer_.fire_by(deadline());  // every step except a write ends here
     if (reading_) return;
-    if (buffer_.size() > kMaxHeadSize) return poll_for_disconnect();
+    if (buffer_.size() > 0 && !may_read()) return poll_for_disconnect();
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(closing_on_error_ ? kLingerReadSize : kReadSize),
-                            [self = shared_from_this()](error_code ec, std::size_t n) {
-                              self->reading_ = false;
-                              if (self->owner_ == nullptr) return;
-                              if (ec) return self->drop();
-                              self->last_received_ =
-                                  self->owner_->clock_.now() - std::exchange(self->queue_delay_, 0);
-                              self->buffer_.commit(n);
-                              // Bytes after a request that ended in an error are not parsed as another
-                              // request.
-                              if (self->closing_on_error_) self->buffer_.consume(self->buffer_.size());
-                              if (self->request_id_ == 0) self->parse();
-                              self->read();  // also during a response, to detect a disconnect
-                            });
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
+      self->reading_ = false;
+      if (self->owner_ == nullptr) return;
+      if (ec) return self->drop();
+      self->receive();
+    });
+  }
+
+  // Reads what has arrived, handles it, and waits for more.
+  void receive() {
+    if (!may_read()) return poll_for_disconnect();
+    error_code ec;
+    const std::size_t bytes =
+        socket_.read_some(buffer_.prepare(closing_on_error_ ? kLingerReadSize : kReadSize), ec);
+    buffer_.commit(bytes);
+    if (ec && ec != asio::error::would_block && ec != asio::error::interrupted) return drop();
+    if (bytes > 0) on_received(bytes);
+    buffer_.shrink_to_fit();
+    if (owner_ != nullptr) owner_->enforce_memory_budget();
+    read();  // also during a response, to detect a disconnect
+  }
+
+  void on_received(std::size_t bytes) {
+    last_received_ = owner_->clock_.now() - std::exchange(queue_delay_, 0);
+    if (!partial_request_) progress_ = {};
+    progress_.on_received(bytes, last_received_);
+    // Bytes after a request that ended in an error are not parsed as another request.
+    if (closing_on_error_) buffer_.consume(buffer_.size());
+    if (request_id_ == 0) parse();
+    if (client_sent_close_) buffer_.consume(buffer_.size());  // nothing follows its last request
+  }
+
+  // Requests behind the open one are read ahead up to a limit, and only while all connections together have
+  // read little ahead: they cannot be refused before the open one has its response.
+  bool may_read() const {
+    return request_id_ == 0 || (buffer_.size() <= kMaxHeadSize && owner_->may_read_ahead());
   }
 
   // A client that pipelines many requests behind the open one is not read any further. Its disconnect comes
@@ -241,6 +272,8 @@
       return std::min(last_progress_ + kRequestTimeout, last_received_ + kStalledRequestTimeout);
     return connected_at_ + (partial_request_ ? kFirstRequestTimeout : kFirstByteTimeout);
   }
+  // Its last response is being written, or has been: it only waits for its client to read it.
+  bool is_leaving() const { return closing_on_error_; }
   bool has_partially_read_request() const {
     return partial_request_ && request_id_ == 0 && !closing_on_error_;
   }
@@ -248,15 +281,26 @@
     return idle() && received_request_ && now - last_progress_ > kEvictableIdle;
   }
   ConnectionState state() const {
-    const bool busy = request_id_ != 0 || writing_ || !pending_output_.empty() || !initial_read_done_;
-    const bool partial = !lingering_ && (partial_request_ || buffer_.size() > 0);
-    return {busy, received_request_ || lingering_, partial, connected_at_,
-            partial ? last_received_ : std::max(last_progress_, last_received_)};
+    ConnectionState state;
+    state.busy = request_id_ != 0 || writing_ || !pending_output_.empty() || !initial_read_done_;
+    state.received_request = received_request_ || lingering_;
+    state.partial_request = has_partially_read_request();
+    state.connected_at = connected_at_;
+    state.last_activity = state.partial_request ? progress_.last_progress_at()
+                          : lingering_          ? last_progress_
+                                                : std::max(last_progress_, last_received_);
+    state.request_started_at = received_request_ ? last_progress_ : connected_at_;
+    state.received_since_progress = progress_.received_since_progress();
+    state.held_bytes = memory_.total();
+    return state;
   }
   // Handles a timeout: a client that has started a request gets an error, any other connection is closed.
   void expire() { end_with_status(408, "the request did not come in time\n"); }
-  // The same for a connection that is evicted or drained; the client may retry.
-  void evict() { end_with_status(503, kTooManyClients, kRetryAfter); }
+  // Ends a connection that is evicted or drained. A request that has been received in part is refused, also
+  // if an earlier response is still being written: the client may retry.
+  void evict() {
+    has_partially_read_request() ? respond_and_close(503, kTooManyClients, kRetryAfter) : drop();
+  }
   // Closes the connection. An open request is reported to the core as a client disconnect.
   void drop() {
     if (owner_ == nullptr) return;
@@ -267,6 +311,7 @@
     disconnect_timer_.cancel();
     socket_.shutdown(tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
+    release_request();
     owner.connections_.erase(self);
     if (!owner.accepting_) owner.accept();
   }
@@ -288,8 +333,15 @@
     queue_delay_ = std::min({since_last_data, since_last_ack, kFirstByteTimeout});
     connected_at_ -= std::min(since_last_ack, kFirstByteTimeout);
   }
+  // Frees what has been received of a request. Nothing is parsed on this connection any more.
+  void release_request() {
+    parser_.reset();
+    buffer_.consume(buffer_.size());
+    buffer_.shrink_to_fit();
+    partial_request_ = false;
+  }
   void reset_parser() {
-    parser_.emplace(std::piecewise_construct, std::make_tuple(CountingAllocator<char>(memory_.body())),
+    parser_.emplace(std::piecewise_construct, std::forward_as_tuple(memory_.body()),
                     std::make_tuple(CountingAllocator<char>(memory_.header())));
     parser_->eager(true);
     parser_->body_limit(kLargestBody);
@@ -326,8 +378,7 @@
       }
       if (!parser_->is_done()) continue;
       if (!parser_->keep_alive()) client_sent_close_ = true;
-      ParsedRequest parsed = parser_->release();
-      Request request(std::move(parsed.base()), std::string(parsed.body()));
+      Request request(std::move(parser_->get().base()), parser_->get().body().take());
       reset_parser();
       received_request_ = true;
       handle(std::move(request));
@@ -392,7 +443,7 @@
   // Sends an error response after which the connection is not used for further requests.
   void respond_and_close(unsigned status, const char* body, const char* header = "") {
     closing_on_error_ = true;
-    buffer_.consume(buffer_.size());
+    release_request();
     respond(status, body, header);
     write();
     read();
@@ -472,11 +523,12 @@
   tcp::socket socket_;
   ConnectionMemory memory_;
   boost::beast::basic_flat_buffer<CountingAllocator<char>> buffer_;
-  std::optional<RequestParser> parser_;
+  std::optional<RequestParser> parser_;  // empty once nothing is parsed any more
   std::string pending_output_, write_buffer_;
   core::RequestId request_id_ = 0;  // the open request; 0: none
   Micros last_progress_ = 0;        // the first byte of a request, or the start or end of a write
   Micros last_received_ = 0;        // when the last byte arrived
+  ReceiveProgress progress_;        // of the request that is being received
   Micros queue_delay_ = 0;          // how long the first bytes waited in the accept queue
   Micros connected_at_ = 0;
   bool initial_read_done_ = false;  // the bytes received before the accept have been read
@@ -540,7 +592,7 @@
   if (eviction.above_hard_limit(connections_.size())) evict_connections(eviction);
   accepting_ = acceptor_.is_open() && (!may_accept_ || may_accept_()) &&
                connections_.size() < eviction.capacity() + settings_.overflow_connections;
-  if (under_connection_pressure()) sweep_timer_.fire_by(clock_.now() + IdleTimer::kMinSweepInterval);
+  if (under_connection_pressure()) sweep_timer_.fire_by(clock_.now() + sweep_interval());
   if (!accepting_) return;
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
     if (ec == asio::error::operation_aborted) return;
@@ -574,6 +626,9 @@
 bool HttpServer::under_connection_pressure() const {
   return eviction().above_soft_limit(connections_.size()) || (!accepting_ && acceptor_.is_open());
 }
+Micros HttpServer::sweep_interval() const {
+  return accepting_ || !acceptor_.is_open() ? IdleTimer::kMinSweepInterval : kBlockedAcceptInterval;
+}
 bool HttpServer::over_connection_limit() const { return connections_.size() > settings_.connection_limit(); }
 
 // Clients may keep a connection open for any time after a request, or without sending one. The order of
@@ -588,7 +643,9 @@
   };
   std::vector<Candidate> candidates;
   const bool urgent = eviction.above_hard_limit(connections_.size());
+  std::size_t leaving = 0;  // they hold a descriptor only until their client has read its response
   for (const auto& connection : connections_) {
+    leaving += connection->is_leaving();
     const ConnectionState state = connection->state();
     const int rank = urgent                              ? ConnectionEviction::eviction_rank(state, now)
                      : connection->idle_long_enough(now) ? 0
@@ -601,14 +658,42 @@
   });
   const bool was_accepting = std::exchange(accepting_, true);  // keeps drop() from accepting
   for (const Candidate& candidate : candidates) {
-    if (!(urgent ? eviction.above_hard_limit(connections_.size())
-                 : eviction.above_soft_limit(connections_.size())))
-      break;
+    const bool was_leaving = candidate.connection->is_leaving();
+    const std::size_t competing = connections_.size() - (was_leaving ? 0 : leaving);
+    if (!(urgent ? eviction.above_hard_limit(competing) : eviction.above_soft_limit(competing))) continue;
     candidate.connection->evict();
+    counters_.evicted += !was_leaving;
+    if (was_leaving) --leaving;
+    if (!was_leaving && candidate.connection->is_leaving()) ++leaving;
   }
+  if (eviction.at_capacity(connections_.size() - leaving))
+    counters_.evicted += evict_one(ConnectionEviction::choose_at_capacity);
   accepting_ = was_accepting;
 }
 
+bool HttpServer::evict_one(ChooseConnection choose) {
+  std::vector<ConnectionState> states;
+  states.reserve(connections_.size());
+  for (const auto& connection : connections_) states.push_back(connection->state());
+  const std::optional<std::size_t> chosen = choose(states, clock_.now());
+  if (!chosen) return false;
+  const auto connection = *std::next(connections_.begin(), static_cast<std::ptrdiff_t>(*chosen));
+  connection->evict();
+  return true;
+}
+
+std::size_t HttpServer::held_bytes() const { return memory_->total() + broker_.received_body_bytes(); }
+
+// Requests in flight cannot be refused any more. They fit the budget by their admission (RequestHandler).
+void HttpServer::enforce_memory_budget() {
+  while (held_bytes() > settings_.memory_budget() && evict_one(ConnectionEviction::choose_for_memory))
+    ++counters_.refused_for_memory;
+}
+
+bool HttpServer::may_read_ahead() const {
+  return memory_->read_buffers < settings_.memory_budget() / kReadAheadDivisor;
+}
+
 int HttpServer::export_stream(core::ResponseWriter& client, hot_restart::Stream& stream) {
   return static_cast<Connection&>(client).export_stream(stream);
 }
@@ -659,7 +744,7 @@
   Micros next_deadline = core::kNever;
   for (const auto& connection : connections_) next_deadline = std::min(next_deadline, connection->deadline());
   sweep_timer_.fire_by(under_connection_pressure()
-                           ? now + IdleTimer::kMinSweepInterval
+                           ? now + sweep_interval()
                            : std::max(next_deadline, now + IdleTimer::kMinSweepInterval));
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -3,8 +3,11 @@
 
 #include <boost/asio.hpp>
 #include <functional>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <set>
+#include <span>
 #include <string>
 
 #include "config/config.h"
@@ -23,6 +26,9 @@
   std::function<std::size_t()> connection_limit;  // the current limit on client connections
   // Connections accepted beyond the limit, only to be answered with a 503 and Retry-After.
   std::size_t overflow_connections = 32;
+  // The current budget in bytes for all requests that are being received or in flight. Beyond it, requests
+  // that are being received are refused.
+  std::function<std::size_t()> memory_budget = [] { return std::numeric_limits<std::size_t>::max(); };
 };
 
 class HttpServer {
@@ -40,8 +46,16 @@
   void stop_accepting();
   std::uint16_t port() const { return port_; }
   std::size_t connections() const { return connections_.size(); }
+  struct Counters {
+    std::uint64_t refused_for_memory = 0;  // partially received requests, to keep the memory budget
+    std::uint64_t evicted = 0;             // connections that gave way to new ones
+  };
+  const Counters& counters() const { return counters_; }
   // What all client connections hold. Requests that have been passed to the core are not included.
   const MemoryUsage& memory() const { return *memory_; }
+  // Refuses partially received requests until all that is held fits the budget. The server does so after each
+  // read; to be called when the budget may have shrunk, or requests may have been received elsewhere.
+  void enforce_memory_budget();
   // Sets a function that is called when no descriptor is left, and frees one elsewhere.
   void on_descriptors_exhausted(std::function<bool()> release_descriptor) {
     release_descriptor_ = std::move(release_descriptor);
@@ -75,6 +89,11 @@
   bool under_connection_pressure() const;
   ConnectionEviction eviction() const { return ConnectionEviction(settings_.connection_limit()); }
   void evict_connections(const ConnectionEviction& eviction);
+  using ChooseConnection = std::optional<std::size_t> (*)(std::span<const ConnectionState>, core::Micros);
+  bool evict_one(ChooseConnection choose);  // whether one could be
+  std::size_t held_bytes() const;           // by requests that are being received or in flight
+  bool may_read_ahead() const;
+  core::Micros sweep_interval() const;
 
   boost::asio::io_context& io_;
   core::Broker& broker_;
@@ -86,6 +105,7 @@
   std::function<bool()> release_descriptor_;
   std::shared_ptr<MemoryUsage> memory_ = std::make_shared<MemoryUsage>();
   std::set<std::shared_ptr<Connection>> connections_;
+  Counters counters_;
   std::uint16_t port_ = 0;
   std::function<bool()> may_accept_;  // empty: accepting is always allowed
   bool accepting_ = false;
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -401,6 +401,49 @@
   CHECK(most <= 384);
 }
 
+// Clients that never finish their requests' bodies, in both framings: the router must stay under its limit on
+// memory, over which the platform kills it, and serve the others. A second process of the router starts and
+// takes over meanwhile; the limit applies to both together.
+void unfinished_bodies(int, std::uint64_t seed) {
+#ifdef __SANITIZE_ADDRESS__
+  constexpr bool kMeasureMemory = false;  // it would measure the sanitizer's own
+#else
+  constexpr bool kMeasureMemory = true;
+#endif
+  constexpr int kConnections = 800, kReconnectMs = 800, kMemoryMb = 64;
+  const std::string head = "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nX-Trace-Id: crowd\r\n";
+  const std::string body(258'000, 'x');
+  Platform platform;
+  platform.limits = {512, kMemoryMb};
+  auto first = platform.start_and_wait_ready();
+  Load load(platform.port(), {40, 0.1, 2000, false, 4000}, seed);
+  Load large(platform.port(), {4, 0, 0, false, 250'000}, seed + 1);
+  load.open_idle_connections(kConnections / 2, head + "Content-Length: 262144\r\n\r\n" + body, kReconnectMs);
+  load.open_idle_connections(kConnections / 2, head + "Transfer-Encoding: chunked\r\n\r\n3f000\r\n" + body,
+                             kReconnectMs);
+  std::unique_ptr<Process> second;
+  long memory_kb = 0;
+  for (int i = 0; i < 300; ++i) {
+    pause(20);
+    memory_kb = std::max(memory_kb, first->resident_kb() + (second ? second->resident_kb() : 0));
+    if (i == 100) second = platform.start();
+    if (i == 200) {
+      CHECK(Platform::ready(*second));
+      first->signal(SIGTERM);
+    }
+  }
+  Platform::check_clean_exit(*first, 3700);
+  const LoadResults results = load.finish(), large_results = large.finish();
+  print("beside unfinished bodies", results);
+  print("large ones", large_results);
+  std::printf("memory %ld MB of %d\n", memory_kb / 1024, kMemoryMb);
+  if (kMeasureMemory) CHECK(memory_kb <= kMemoryMb * 1024);
+  for (const LoadResults& each : {results, large_results}) {
+    CHECK(static_cast<double>(each.served) >= 0.9 * static_cast<double>(each.requests()));
+    CHECK(each.lost + each.unaccepted + each.failed + each.surplus == 0);
+  }
+}
+
 // Starts with a descriptor that is not a listening socket, with corrupt files in the scratch folder, and
 // without the scratch folder.
 void odd_starts(int, std::uint64_t) {
@@ -481,6 +524,7 @@
       {"without_discovery", without_discovery},
       {"answers_move", answers_move},
       {"crowd", crowd},
+      {"unfinished_bodies", unfinished_bodies},
       {"odd_starts", odd_starts},
       {"signals_until_the_exit", signals_until_the_exit}};
   const auto it = cases.find(argv[2]);
--- a/tests/hot_restart/limit_partition_test.cpp
+++ b/tests/hot_restart/limit_partition_test.cpp
@@ -44,5 +44,20 @@
   }
 }
 
+// Guards against two processes that each take all the memory that they see free, before they see each other's
+// usage.
+TEST(LimitPartition, ProcessesThatGrowAtOnceStayWithinTheRoutersMemory) {
+  for (std::size_t first = 0; first <= 1000; first += 50) {
+    for (std::size_t second = 0; first + second <= 1000; second += 50) {
+      const ProcessUsage usage[] = {{ProcessStage::serving, 0, first}, {ProcessStage::draining, 0, second}};
+      const std::size_t first_limit = partition_limits(kRouterLimits, usage[0], {&usage[1], 1}).body_bytes;
+      const std::size_t second_limit = partition_limits(kRouterLimits, usage[1], {&usage[0], 1}).body_bytes;
+      EXPECT_LE(first_limit + second_limit, kRouterLimits.body_bytes);
+      EXPECT_GE(first_limit, first);
+      EXPECT_GE(second_limit, second);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace flintglade::hot_restart
