Read no further requests while 64 KiB of responses wait to be written

What callers saw: nothing that is known. A client that pipelines requests that the router answers itself, and reads nothing, could take any amount of the router's memory.

Cause: only an open request limited what is read ahead, and these end at once.

--- a/src/commands/serve.cpp
+++ b/src/commands/serve.cpp
@@ -435,6 +435,7 @@
     fields.emplace_back("unsolicited_responses", http_replica_client.counters().unsolicited_responses);
     fields.emplace_back("client_connections_evicted", http_server.counters().evicted);
     fields.emplace_back("client_requests_refused_for_memory", http_server.counters().refused_for_memory);
+    fields.emplace_back("client_unsent_bytes", http_server.unsent_bytes());
     add_memory_fields(http_server.memory(), broker.body_bytes(), fields);
     if (grpc_server) {
       fields.emplace_back("kserve_open_streams", grpc_server->open_calls());
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -161,9 +161,11 @@
   }
 
   // Requests behind the open one are read ahead up to a limit, and only while all connections together have
-  // read little ahead: they cannot be refused before the open one has its response.
+  // read little ahead: they cannot be refused before the open one has its response. Without an open request,
+  // reading goes on once the client has taken its responses.
   bool may_read() const {
-    return request_id_ == 0 || (buffer_.size() <= kMaxHeadSize && owner_->may_read_ahead());
+    if (request_id_ == 0) return closing_on_error_ || has_room_for_responses();
+    return buffer_.size() <= kMaxHeadSize && owner_->may_read_ahead();
   }
 
   // A client that pipelines many requests behind the open one is not read any further. Its disconnect comes
@@ -258,6 +260,8 @@
     read();
   }
 
+  bool has_room_for_responses() const { return pending_output_.size() <= kMaxUnsentBytes; }
+  std::size_t unsent_bytes() const { return pending_output_.size() + write_buffer_.size(); }
   bool idle() const {
     return request_id_ == 0 && pending_output_.empty() && !writing_ && buffer_.size() == 0 &&
            !partial_request_;
@@ -360,7 +364,7 @@
 
   void parse() {
     while (owner_ != nullptr && request_id_ == 0 && !client_sent_close_ && !closing_on_error_ &&
-           buffer_.size() > 0) {
+           buffer_.size() > 0 && has_room_for_responses()) {
       if (!partial_request_) last_progress_ = owner_->clock_.now();
       partial_request_ = true;
       error_code ec;
@@ -682,6 +686,12 @@
   return true;
 }
 
+std::size_t HttpServer::unsent_bytes() const {
+  std::size_t sum = 0;
+  for (const auto& connection : connections_) sum += connection->unsent_bytes();
+  return sum;
+}
+
 std::size_t HttpServer::held_bytes() const { return memory_->total() + broker_.received_body_bytes(); }
 
 // Requests in flight cannot be refused any more. They fit the budget by their admission (RequestHandler).
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -53,6 +53,8 @@
   const Counters& counters() const { return counters_; }
   // What all client connections hold. Requests that have been passed to the core are not included.
   const MemoryUsage& memory() const { return *memory_; }
+  // Bytes of responses that clients have not taken yet.
+  std::size_t unsent_bytes() const;
   // Refuses partially received requests until all that is held fits the budget. The server does so after each
   // read; to be called when the budget may have shrunk, or requests may have been received elsewhere.
   void enforce_memory_budget();
--- a/tests/http/server_memory_test.cpp
+++ b/tests/http/server_memory_test.cpp
@@ -68,6 +68,17 @@
     text.resize(client.read_some(boost::asio::buffer(text), ec));
     return text;
   }
+  // Reads this many bytes.
+  bool read_until(tcp::socket& client, std::size_t wanted, std::size_t& read) {
+    const auto deadline = std::chrono::steady_clock::now() + kWaitTimeout;
+    std::string text(1 << 16, '\0');
+    while (read < wanted && std::chrono::steady_clock::now() < deadline) {
+      boost::system::error_code ec;
+      read += client.read_some(boost::asio::buffer(text), ec);
+      step();
+    }
+    return read >= wanted;
+  }
   std::size_t refused() {
     std::size_t count = 0;
     for (tcp::socket& client : clients_) count += received(client).rfind("HTTP/1.1 503", 0) == 0;
@@ -132,6 +143,27 @@
   EXPECT_LE(server_->memory().read_buffers, kBudget / 8 + (16u << 10));
 }
 
+// Guards against responses that pile up for a client that sends requests and reads nothing: those that are
+// answered here end at once, so that nothing held the next one back.
+TEST_F(ServerMemoryTest, ResponsesToAClientThatReadsNothingAreBounded) {
+  std::string requests;
+  for (int i = 0; i < 1000; ++i) requests += "GET /ready HTTP/1.1\r\n\r\n";
+  tcp::socket& client = connect();
+  client.set_option(boost::asio::socket_base::receive_buffer_size(64 << 10));
+  std::size_t most_unsent = 0, sent = 0;
+  for (int i = 0; i < 4000; ++i) {
+    boost::system::error_code ec;
+    const std::string_view rest = std::string_view(requests).substr(sent % requests.size());
+    sent += client.write_some(boost::asio::buffer(rest.data(), rest.size()), ec);
+    step();
+    most_unsent = std::max(most_unsent, server_->unsent_bytes());
+  }
+  EXPECT_LE(most_unsent, 256u << 10);
+  // Once it reads, it gets the others too.
+  std::size_t read = 0;
+  EXPECT_TRUE(read_until(client, 8u << 20, read)) << read;
+}
+
 // Guards against small requests that are refused because others hold the memory, large complete ones in
 // between.
 TEST_F(ServerMemoryTest, OtherRequestsAreAdmittedBesideUnfinishedOnes) {
