Count what the metadata of a request in flight has allocated, not its bytes

What callers saw: nothing that is known. Requests with thousands of small header fields could hold some thirty times what the budget counted for them.

Cause: Request::bytes() added the lengths of names and values; each field is an object of 64 bytes beside its text.

Evidence and test: RequestHandler.CountsWhatTheMetadataOfARequestHasAllocated failed before: 2,500 fields of two bytes count as 5,000 bytes, and the vector alone takes 160,000.

Why it works: the sum is over the capacities of the strings and of the vector, and the request does not change.

--- a/src/core/request.h
+++ b/src/core/request.h
@@ -35,12 +35,21 @@
   std::string body;
   std::vector<std::pair<std::string, std::string>> metadata;  // from the client, for the replica
 
-  // The request's share of the budget for request bodies, in bytes.
+  // The request's share of the budget for request bodies, in bytes: what it has allocated. Small metadata can
+  // take many times the bytes that the client has sent for it.
   std::size_t bytes() const {
-    std::size_t sum = body.size();
-    for (const auto& [name, value] : metadata) sum += name.size() + value.size();
+    std::size_t sum = heap_bytes(body) + heap_bytes(target) + heap_bytes(trace_id) +
+                      metadata.capacity() * sizeof(metadata.front());
+    for (const auto& [name, value] : metadata) sum += heap_bytes(name) + heap_bytes(value);
     return sum;
   }
+
+ private:
+  // A short string is part of its object.
+  static std::size_t heap_bytes(const std::string& text) {
+    static const std::size_t kShortCapacity = std::string().capacity();
+    return text.capacity() > kShortCapacity ? text.capacity() : 0;
+  }
 };
 
 }  // namespace flintglade::core
--- a/tests/core/request_handler_test.cpp
+++ b/tests/core/request_handler_test.cpp
@@ -66,6 +66,20 @@
   EXPECT_EQ(core.broker->counters().requests_shed, 1u);
 }
 
+// Guards against metadata that takes far more memory than its bytes: 2,500 fields of two bytes took 160 KB
+// and counted as 5 KB of the budget.
+TEST(RequestHandler, CountsWhatTheMetadataOfARequestHasAllocated) {
+  constexpr std::size_t kFields = 2500;
+  BrokerFixture core(kFields * sizeof(core::Request{}.metadata.front()) - 1);
+  const auto request = core.make_request();
+  for (std::size_t i = 0; i < kFields; ++i) request->metadata.emplace_back("a", "b");
+  const auto response = std::make_shared<FakeResponseWriter>();
+  core.broker->on_request(request, response);
+  core.broker->run_iteration();
+  EXPECT_EQ(response->end, "unavailable");
+  EXPECT_EQ(core.broker->body_bytes(), 0u);
+}
+
 TEST(RequestHandler, AcceptsAResponseWithoutEventsOnlyIfTheRequestAllowsIt) {
   for (const bool may_be_empty : {true, false}) {
     BrokerFixture core;
