Known red: calls over KServe that are never finished take any amount of memory

What a caller would see: the router is killed for its memory, as by unfinished requests over HTTP before.

Cause: gRPC keeps what it has received of a message, and some 12 KB for each open call. Its resource quota (transport_mb, 32 by default) ends connections only when it is far exceeded, and the limits on calls do not follow from memory_mb.

--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
@@ -13,11 +14,13 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <thread>
 #include <vector>
 
 #include "check.h"
 #include "fleet/load.h"
 #include "fleet/process.h"
+#include "fleet/unfinished_calls.h"
 #include "hot_restart/descriptor_passing.h"
 #include "settings.h"
 #include "stand_ins.h"
@@ -37,6 +40,7 @@
     int sockets = 1024, memory_mb = 192;
   };
   Limits limits;
+  std::vector<std::string> arguments;  // of the processes
   Discovery discovery;
   std::vector<std::unique_ptr<Replica>> replicas;
 
@@ -74,7 +78,7 @@
                           << (discovery_down ? "" : "\"known\":" + known_list + ",")
                           << "\"limits\":{\"memory_mb\":" << limits.memory_mb
                           << ",\"sockets\":" << limits.sockets << "},\"settings\":" << kSettings << "}";
-    ProcessOptions options{g_program, {}, {}, acceptor_.native_handle()};
+    ProcessOptions options{g_program, arguments, {}, acceptor_.native_handle()};
     options.environment = {{"GW_CONFIG", config}, {"GW_ACCEPT_FD", "3"}, {"TMPDIR", folder + scratch}};
     return std::make_unique<Process>(options);
   }
@@ -401,15 +405,40 @@
   CHECK(most <= 384);
 }
 
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool kMeasureMemory = false;  // it would measure the sanitizer's own
+#else
+constexpr bool kMeasureMemory = true;
+#endif
+
+// Calls of the KServe front whose messages are never finished: the router must stay under its limit on
+// memory.
+void unfinished_calls(int, std::uint64_t) {
+  constexpr int kMilliseconds = 4000;
+  Platform platform;
+  platform.limits = {512, 96};
+  const std::string operator_file = platform.folder + "/operator.textproto";
+  std::ofstream(operator_file) << "kserve { listen: \"127.0.0.1:0\" models { name: \"m\" } }\n";
+  platform.arguments = {"serve", "--operator", operator_file};
+  auto process = platform.start_and_wait_ready();
+  unsigned short port = 0;
+  CHECK(within(5000, [&] { return (port = process->port("wire=kserve at=127.0.0.1:")) != 0; }));
+  std::atomic<bool> ended = false;
+  std::thread clients([&] {
+    run_unfinished_calls(port, {40, 256, 250'000}, kMilliseconds);
+    ended = true;
+  });
+  long memory_kb = 0;
+  for (; !ended; pause(10)) memory_kb = std::max(memory_kb, process->resident_kb());
+  clients.join();
+  std::printf("memory %ld MB of %d\n", memory_kb / 1024, platform.limits.memory_mb);
+  if (kMeasureMemory) CHECK(memory_kb <= platform.limits.memory_mb * 1024);
+}
+
 // Clients that never finish their requests' bodies, in both framings: the router must stay under its limit on
 // memory, over which the platform kills it, and serve the others. A second process of the router starts and
 // takes over meanwhile; the limit applies to both together.
 void unfinished_bodies(int, std::uint64_t seed) {
-#ifdef __SANITIZE_ADDRESS__
-  constexpr bool kMeasureMemory = false;  // it would measure the sanitizer's own
-#else
-  constexpr bool kMeasureMemory = true;
-#endif
   constexpr int kConnections = 800, kReconnectMs = 800, kMemoryMb = 64;
   const std::string head = "POST /v1/chat/completions HTTP/1.1\r\nHost: b\r\nX-Trace-Id: crowd\r\n";
   const std::string body(258'000, 'x');
@@ -525,6 +554,7 @@
       {"answers_move", answers_move},
       {"crowd", crowd},
       {"unfinished_bodies", unfinished_bodies},
+      {"unfinished_calls", unfinished_calls},
       {"odd_starts", odd_starts},
       {"signals_until_the_exit", signals_until_the_exit}};
   const auto it = cases.find(argv[2]);
