Evict no request that makes progress to accept another client

Cause: where no connection had stalled, the accept evicted the newest request over 100 ms old. A slow client is that at some moment, and silent ones, which may not be evicted for 250 ms, take the place.

Why it works: only what has stalled gives way for a descriptor again. The crowds that the rule was for send a byte now and then, and give way after 150 ms without progress by the rule for these.

--- a/src/http/connection_eviction.h
+++ b/src/http/connection_eviction.h
@@ -9,7 +9,6 @@
 //  - Above seven eighths, the least valuable connections are evicted, each after a grace period in which a
 //    genuine client would have continued: first those that have received a response, then those that have
 //    sent nothing or send a few bytes now and then, then those that stalled in the middle of a request.
-//  - At the capacity, if no connection has stalled, a request that makes progress gives way.
 //  - A connection with an open request, or with a response still being written, is never evicted.
 //
 // A request that is still being received costs memory too. Where the budget is exceeded, one that holds at
@@ -55,7 +54,6 @@
   explicit ConnectionEviction(std::size_t capacity) : capacity_(capacity) {}
   bool above_soft_limit(std::size_t connections) const { return connections > capacity_ / 2; }
   bool above_hard_limit(std::size_t connections) const { return connections > capacity_ - capacity_ / 8; }
-  bool at_capacity(std::size_t connections) const { return connections >= capacity_; }
   std::size_t capacity() const { return capacity_; }
 
   // Position in the order of eviction: connections of a lower rank are evicted first. kNotEvictable:
@@ -72,10 +70,10 @@
     return now - connection.connected_at >= kStalledGrace ? 1 : kNotEvictable;
   }
 
-  // The position of a partial request among those that give way where the others may not be evicted; the
-  // lowest goes first. A stalled request goes first, the one without progress for longest before the others.
-  // Of those that make progress the newest one goes: the oldest is the closest to its end. One that has just
-  // begun goes last, since most requests are complete in a moment.
+  // The position of a partial request among those that give way where memory is short; the lowest goes first.
+  // One of which only a few bytes come now and then goes first, then a stalled one; of each kind the one
+  // without progress for longest. Of those that make progress the newest one goes: the oldest is the closest
+  // to its end. One that has just begun goes last, since most requests are complete in a moment.
   struct Priority {
     int group;
     core::Micros order;
@@ -90,19 +88,6 @@
     return {kBegunGroup, partial.last_activity};
   }
 
-  // Chooses the connection that gives way to a new one when the capacity is reached and no connection has a
-  // rank. Requests that have just begun are left alone: the new connection waits.
-  static std::optional<std::size_t> choose_at_capacity(std::span<const ConnectionState> connections,
-                                                       core::Micros now) {
-    return choose(
-        connections,
-        [now](const ConnectionState& connection) {
-          return !connection.busy && connection.partial_request &&
-                 priority(connection, now).group < kBegunGroup;
-        },
-        now);
-  }
-
   // Chooses the partial request that is refused because the memory budget is exceeded: always one, if any
   // partial request holds memory.
   static std::optional<std::size_t> choose_for_memory(std::span<const ConnectionState> connections,
@@ -113,29 +98,20 @@
       ++holders;
       held += connection.held_bytes;
     }
-    return choose(
-        connections,
-        [=](const ConnectionState& connection) {
-          return connection.partial_request && connection.held_bytes > 0 &&
-                 2 * connection.held_bytes >= held / holders;
-        },
-        now);
+    std::optional<std::size_t> chosen;
+    for (std::size_t i = 0; i < connections.size(); ++i) {
+      const ConnectionState& connection = connections[i];
+      if (!connection.partial_request || connection.held_bytes == 0) continue;
+      if (2 * connection.held_bytes < held / holders) continue;
+      if (!chosen || priority(connection, now) < priority(connections[*chosen], now)) chosen = i;
+    }
+    return chosen;
   }
 
  private:
   static bool is_trickling(const ConnectionState& partial, core::Micros now) {
     return partial.received_since_progress && now - partial.last_activity >= kTricklingGrace;
   }
-  template <typename Predicate>
-  static std::optional<std::size_t> choose(std::span<const ConnectionState> connections,
-                                           Predicate is_candidate, core::Micros now) {
-    std::optional<std::size_t> chosen;
-    for (std::size_t i = 0; i < connections.size(); ++i) {
-      if (!is_candidate(connections[i])) continue;
-      if (!chosen || priority(connections[i], now) < priority(connections[*chosen], now)) chosen = i;
-    }
-    return chosen;
-  }
 
   std::size_t capacity_;
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -670,16 +670,14 @@
     if (was_leaving) --leaving;
     if (!was_leaving && candidate.connection->is_leaving()) ++leaving;
   }
-  if (eviction.at_capacity(connections_.size() - leaving))
-    counters_.evicted += evict_one(ConnectionEviction::choose_at_capacity);
   accepting_ = was_accepting;
 }
 
-bool HttpServer::evict_one(ChooseConnection choose) {
+bool HttpServer::refuse_one_for_memory() {
   std::vector<ConnectionState> states;
   states.reserve(connections_.size());
   for (const auto& connection : connections_) states.push_back(connection->state());
-  const std::optional<std::size_t> chosen = choose(states, clock_.now());
+  const std::optional<std::size_t> chosen = ConnectionEviction::choose_for_memory(states, clock_.now());
   if (!chosen) return false;
   const auto connection = *std::next(connections_.begin(), static_cast<std::ptrdiff_t>(*chosen));
   connection->evict();
@@ -696,8 +694,7 @@
 
 // Requests in flight cannot be refused any more. They fit the budget by their admission (RequestHandler).
 void HttpServer::enforce_memory_budget() {
-  while (held_bytes() > settings_.memory_budget() && evict_one(ConnectionEviction::choose_for_memory))
-    ++counters_.refused_for_memory;
+  while (held_bytes() > settings_.memory_budget() && refuse_one_for_memory()) ++counters_.refused_for_memory;
 }
 
 bool HttpServer::may_read_ahead() const {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -7,7 +7,6 @@
 #include <memory>
 #include <optional>
 #include <set>
-#include <span>
 #include <string>
 
 #include "config/config.h"
@@ -91,9 +90,8 @@
   bool under_connection_pressure() const;
   ConnectionEviction eviction() const { return ConnectionEviction(settings_.connection_limit()); }
   void evict_connections(const ConnectionEviction& eviction);
-  using ChooseConnection = std::optional<std::size_t> (*)(std::span<const ConnectionState>, core::Micros);
-  bool evict_one(ChooseConnection choose);  // whether one could be
-  std::size_t held_bytes() const;           // by requests that are being received or in flight
+  bool refuse_one_for_memory();    // false if no partial request holds memory
+  std::size_t held_bytes() const;  // by requests that are being received or in flight
   bool may_read_ahead() const;
   core::Micros sweep_interval() const;
 
