--- a/review/rig-2/h2.h
+++ b/review/rig-2/h2.h
@@ -6,7 +6,15 @@
 
 namespace rig {
 
-enum FrameType { kData = 0, kHeaders = 1, kSettings = 4, kPing = 6, kGoAway = 7 };
+enum FrameType {
+  kData = 0,
+  kHeaders = 1,
+  kResetStream = 3,
+  kSettings = 4,
+  kPing = 6,
+  kGoAway = 7,
+  kWindowUpdate = 8
+};
 constexpr int kEndStream = 1, kAck = 1, kEndHeaders = 4;
 inline const std::string kPreface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
 
--- a/review/rig-2/kserve_site.h
+++ b/review/rig-2/kserve_site.h
@@ -12,7 +12,7 @@
   int kserve_port = 0;
   std::atomic<int> served = 0, cut = 0, others = 0;
 
-  explicit KServeSite(const Case& run) {
+  explicit KServeSite(const Case& run, int memory_mb = 192, int sockets = 1024) {
     for (Replica* replica : {&first_, &second_}) {
       replica->events = 20;
       replica->gap_s = 0.05;
@@ -28,6 +28,8 @@
     config.discovery = discovery_.address();
     config.known = discovery_.whole_list();
     config.settings = site_settings(1, 0);
+    config.memory_mb = memory_mb;
+    config.sockets = sockets;
     kserve_port = free_port();
     write_file(run.scratch + "/config.json", config_text(config));
     write_file(run.scratch + "/operator.textproto",
@@ -59,8 +61,9 @@
     sleep_for(3);
   }
 
-  // Ends the clients, records how the router is, and ends the case: a router that has ended has crashed.
-  [[noreturn]] void end() {
+  // Ends the clients, records how the router is, and ends the case: a router that has ended, or was over its
+  // memory, has crashed.
+  [[noreturn]] void end(long peak_kb = 0, int memory_mb = 192) {
     const bool ended = wait_for(2, [&] { return router.ended(); });
     clients_run_ = false;
     for (std::thread& client : clients_) client.join();
@@ -70,10 +73,12 @@
     RIG_NOTE("HTTP clients: served %d, streams cut %d, others %d", served.load(), cut.load(), others.load());
     std::istringstream log(router.log());
     for (std::string line; std::getline(log, line);) RIG_NOTE("router: %s", line.c_str());
+    if (peak_kb > 0) RIG_NOTE("peak memory %ld kB of %d kB", peak_kb, memory_mb * 1024);
+    if (peak_kb > 0) std::printf("peak memory %ld kB; ", peak_kb);
     std::printf("the router %s; HTTP streams served %d, cut %d\n", ended ? "has ended" : "runs",
                 served.load(), cut.load());
     if (served == 0) could_not_run("no stream was served before");
-    end_case(ended ? kBroken : kHeld);
+    end_case(ended || peak_kb > memory_mb * 1024L ? kBroken : kHeld);
   }
 
  private:
