Review cases 6 to 10: sources that the build of cases 1 to 3 leaves alone

Cause: review/build.sh compiles each [0-9]/case.cpp, so it took the new sources, too, and failed on them.

Change: they are called test.cpp, and review/build-2.sh builds those.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build-review-2
-for source in review/{6..10}/case.cpp; do
+for source in review/{6..10}/test.cpp; do
   [ -e "$source" ] || continue
   number=$(basename "$(dirname "$source")")
   "${CXX:-g++}" -std=c++20 -O2 -Wall -Wextra -Wno-missing-field-initializers -pthread -Ireview/rig-2 "$source" \
