--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -113,13 +113,20 @@
   return fd;
 }
 
-// A port that nobody uses now, for a process of the project.
+// A port that nobody uses now, for a process of the project: below those from which the system picks, so that
+// no connection takes it before that process does.
 inline int free_port(int type = SOCK_STREAM) {
-  const int fd = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
-  const sockaddr_in address = loopback(0);
-  ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
-  const int port = port_of(fd);
-  ::close(fd);
+  static std::mutex mutex;
+  static std::mt19937 random{std::random_device{}()};
+  const std::lock_guard lock(mutex);
+  int port = 0;
+  for (bool is_free = false; !is_free;) {
+    port = std::uniform_int_distribution<int>(12'000, 31'999)(random);
+    const int fd = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = loopback(port);
+    is_free = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    ::close(fd);
+  }
   return port;
 }
 
